Lay down the thin path: a packet, a request and a setting go all the way

Cause: nothing ran yet. Change: workspace, API with generated code, settings tree, replicated state on one control host with a synced log, table, packet forwarder, request chain, plain listener, stand-in backend server, quayctl and its demo. Conclusion: the path is whole; moves, control traffic and the single control host are next.

--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,120 @@
+// Package cli holds the commands of quayctl.
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"greengagequay/internal/api"
+	"greengagequay/internal/fault"
+)
+
+// Exit codes of quayctl.
+const (
+	exitOK      = 0
+	exitFailure = 1 // the command failed
+	exitUsage   = 2 // the command line is wrong
+)
+
+// Globals are flags that all commands share.
+type Globals struct {
+	Server  string        `help:"API address of any host, IP:port." default:"127.0.0.1:7300" env:"QUAY_SERVER"`
+	Output  string        `help:"Output format." enum:"table,json" default:"table" short:"o"`
+	Timeout time.Duration `help:"Longest time a call may take." default:"10s"`
+}
+
+// commands is the command line.
+type commands struct {
+	Globals
+	Settings settingsCmd `cmd:"" help:"Read and change settings."`
+	Services servicesCmd `cmd:"" help:"List services."`
+	Zones    zonesCmd    `cmd:"" help:"List availability zones."`
+	Backends backendsCmd `cmd:"" help:"List backend servers."`
+	Hosts    hostsCmd    `cmd:"" help:"List hosts of the system."`
+	Status   statusCmd   `cmd:"" help:"Show revision, leader and hosts that lag behind."`
+	Drain    drainCmd    `cmd:"" help:"Take new work away from a backend server."`
+	Demo     demoCmd     `cmd:"" help:"Run a small system on loopback and report what callers saw."`
+}
+
+// env is what a command runs with.
+type env struct {
+	Globals
+	ctx context.Context
+	out io.Writer
+	err io.Writer
+}
+
+// Main runs quayctl and returns its exit code.
+func Main(ctx context.Context, args []string, out, errOut io.Writer) int {
+	var c commands
+	parser, err := kong.New(&c, kong.Name("quayctl"),
+		kong.Description("Operates greengagequay, a layer-4 load balancer."),
+		kong.Writers(out, errOut), kong.UsageOnError())
+	if err != nil {
+		fmt.Fprintln(errOut, err)
+		return exitFailure
+	}
+	parsed, err := parser.Parse(args)
+	if err != nil {
+		fmt.Fprintln(errOut, "quayctl:", err)
+		return exitUsage
+	}
+	e := &env{Globals: c.Globals, ctx: ctx, out: out, err: errOut}
+	if err := parsed.Run(e); err != nil {
+		printError(errOut, err)
+		return exitFailure
+	}
+	return exitOK
+}
+
+func printError(w io.Writer, err error) {
+	f := fault.From(explain(err))
+	fmt.Fprintf(w, "quayctl: %s\n", f.Message)
+	if f.Remedy != "" {
+		fmt.Fprintf(w, "remedy: %s\n", f.Remedy)
+	}
+}
+
+// client returns a client of the API and a context bounded in time.
+func (e *env) client() (*api.Client, context.Context, context.CancelFunc, error) {
+	client, err := api.NewClient("http://" + e.Server)
+	if err != nil {
+		return nil, nil, nil, fault.New(fault.Invalid, "use --server IP:port", "server %q: %w", e.Server, err)
+	}
+	ctx, cancel := context.WithTimeout(e.ctx, e.Timeout)
+	return client, ctx, cancel, nil
+}
+
+// print writes the value as JSON, or the rows as a table.
+func (e *env) print(value any, header string, rows [][]any) error {
+	if e.Output == "json" {
+		enc := json.NewEncoder(e.out)
+		enc.SetIndent("", "  ")
+		return enc.Encode(value)
+	}
+	w := tabwriter.NewWriter(e.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, header)
+	for _, row := range rows {
+		for i, cell := range row {
+			if i > 0 {
+				fmt.Fprint(w, "\t")
+			}
+			fmt.Fprint(w, cell)
+		}
+		fmt.Fprintln(w)
+	}
+	return w.Flush()
+}
+
+// isTerminal reports whether the file is a terminal.
+func isTerminal(f *os.File) bool {
+	info, err := f.Stat()
+	return err == nil && info.Mode()&os.ModeCharDevice != 0
+}
--- /dev/null
+++ b/internal/cli/settings.go
@@ -0,0 +1,218 @@
+package cli
+
+import (
+	"crypto/rand"
+	"encoding/json"
+	"os"
+	"os/user"
+	"time"
+
+	"github.com/tailscale/hujson"
+
+	"greengagequay/internal/api"
+	"greengagequay/internal/fault"
+	"greengagequay/internal/settings"
+)
+
+type settingsCmd struct {
+	Get     getCmd     `cmd:"" help:"Show the effective settings of a node."`
+	Set     setCmd     `cmd:"" help:"Set a value at a node."`
+	Unset   unsetCmd   `cmd:"" help:"Remove a value, so that the node inherits again."`
+	Explain explainCmd `cmd:"" help:"Show where a value comes from."`
+	History historyCmd `cmd:"" help:"List accepted changes."`
+	Apply   applyCmd   `cmd:"" help:"Apply a file of settings: JSON with comments, {path: {key: value}}."`
+	Keys    keysCmd    `cmd:"" help:"List all keys."`
+}
+
+// changeFlags are shared by all commands that submit a change.
+type changeFlags struct {
+	ID      string `help:"Id of the change; repeat it to repeat the change safely. Chosen at random if absent."`
+	Base    *int64 `help:"Settings revision that the change is based on."`
+	Message string `help:"Why the change is made." short:"m"`
+	DryRun  bool   `help:"Check the change, but do not submit it."`
+}
+
+func (f changeFlags) submit(e *env, ops []api.Op) error {
+	client, ctx, cancel, err := e.client()
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	req := &api.ChangeRequest{ID: f.ID, Ops: ops, Author: api.NewOptString(author()), Message: api.NewOptString(f.Message), DryRun: api.NewOptBool(f.DryRun)}
+	if req.ID == "" {
+		req.ID = rand.Text()
+	}
+	if f.Base != nil {
+		req.Base.SetTo(*f.Base)
+	}
+	res, err := client.SubmitChange(ctx, req)
+	if err != nil {
+		return err
+	}
+	return e.print(res, "ID\tREVISION\tREPEATED\tDRY-RUN", [][]any{{res.ID, res.Revision, res.Repeated.Value, res.DryRun.Value}})
+}
+
+func author() string {
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return "unknown"
+}
+
+type getCmd struct {
+	Path string `arg:"" help:"Node, such as /pantanir/rvk-a."`
+	Key  string `arg:"" optional:"" help:"Key; all keys if absent."`
+}
+
+func (c *getCmd) Run(e *env) error {
+	list, err := fetch(e, c.Path, c.Key)
+	if err != nil {
+		return err
+	}
+	var rows [][]any
+	for _, s := range list.Settings {
+		rows = append(rows, []any{s.Key, s.Value, s.Origin})
+	}
+	return e.print(list, "KEY\tVALUE\tFROM", rows)
+}
+
+func fetch(e *env, path, key string) (*api.SettingList, error) {
+	client, ctx, cancel, err := e.client()
+	if err != nil {
+		return nil, err
+	}
+	defer cancel()
+	params := api.GetSettingsParams{Path: path}
+	if key != "" {
+		params.Key.SetTo(key)
+	}
+	return client.GetSettings(ctx, params)
+}
+
+type setCmd struct {
+	changeFlags
+	Path  string `arg:"" help:"Node, such as /pantanir."`
+	Key   string `arg:"" help:"Key, such as request.timeout."`
+	Value string `arg:"" help:"Value as JSON; text may stand without quotes."`
+}
+
+func (c *setCmd) Run(e *env) error {
+	return c.submit(e, []api.Op{opOf(api.OpActionSet, c.Path, c.Key, asJSON(c.Value))})
+}
+
+// asJSON quotes a value that is not JSON.
+func asJSON(v string) string {
+	if json.Valid([]byte(v)) {
+		return v
+	}
+	quoted, _ := json.Marshal(v)
+	return string(quoted)
+}
+
+func opOf(action api.OpAction, path, key, value string) api.Op {
+	return api.Op{Action: action, Path: path, Key: key, Value: api.NewOptString(value)}
+}
+
+type unsetCmd struct {
+	changeFlags
+	Path string `arg:"" help:"Node."`
+	Key  string `arg:"" help:"Key."`
+}
+
+func (c *unsetCmd) Run(e *env) error {
+	return c.submit(e, []api.Op{opOf(api.OpActionUnset, c.Path, c.Key, "")})
+}
+
+type explainCmd struct {
+	Path string `arg:"" help:"Node."`
+	Key  string `arg:"" help:"Key."`
+}
+
+func (c *explainCmd) Run(e *env) error {
+	list, err := fetch(e, c.Path, c.Key)
+	if err != nil {
+		return err
+	}
+	var rows [][]any
+	for _, s := range list.Settings {
+		rows = append(rows, []any{s.Key, s.Value, s.Origin, "in force"})
+		for _, o := range s.Overrides {
+			rows = append(rows, []any{s.Key, o.Value, o.Path, "overridden"})
+		}
+	}
+	return e.print(list, "KEY\tVALUE\tFROM\tSTATE", rows)
+}
+
+type historyCmd struct {
+	Limit int `help:"Most changes to list." default:"20"`
+}
+
+func (c *historyCmd) Run(e *env) error {
+	client, ctx, cancel, err := e.client()
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	list, err := client.ListChanges(ctx, api.ListChangesParams{Limit: api.NewOptInt(c.Limit)})
+	if err != nil {
+		return err
+	}
+	var rows [][]any
+	for _, ch := range list.Changes {
+		for _, op := range ch.Ops {
+			rows = append(rows, []any{ch.Revision, ch.Time.Format(time.RFC3339), ch.Author, ch.ID, op.Action, op.Path, op.Key, op.Value.Value})
+		}
+	}
+	return e.print(list, "REVISION\tTIME\tAUTHOR\tID\tACTION\tPATH\tKEY\tVALUE", rows)
+}
+
+type applyCmd struct {
+	changeFlags
+	File string `arg:"" help:"File of settings." type:"existingfile"`
+}
+
+func (c *applyCmd) Run(e *env) error {
+	data, err := os.ReadFile(c.File)
+	if err != nil {
+		return fault.New(fault.Invalid, "check the file", "read settings: %w", err)
+	}
+	ops, err := parseTree(data)
+	if err != nil {
+		return err
+	}
+	return c.submit(e, ops)
+}
+
+// parseTree parses {path: {key: value}}. The value null unsets a key.
+func parseTree(data []byte) ([]api.Op, error) {
+	plain, err := hujson.Standardize(data)
+	if err != nil {
+		return nil, fault.New(fault.Invalid, "mend the JSON at that place", "parse settings: %w", err)
+	}
+	var tree map[string]map[string]json.RawMessage
+	if err := json.Unmarshal(plain, &tree); err != nil {
+		return nil, fault.New(fault.Invalid, `write {"/service": {"key": value}}`, "parse settings: %w", err)
+	}
+	var ops []api.Op
+	for path, values := range tree {
+		for key, value := range values {
+			if string(value) == "null" {
+				ops = append(ops, opOf(api.OpActionUnset, path, key, ""))
+				continue
+			}
+			ops = append(ops, opOf(api.OpActionSet, path, key, string(value)))
+		}
+	}
+	return ops, nil
+}
+
+type keysCmd struct{}
+
+func (c *keysCmd) Run(e *env) error {
+	keys := settings.Keys()
+	var rows [][]any
+	for _, k := range keys {
+		rows = append(rows, []any{k.Name, k.Type, k.Unit, k.Default, k.Help})
+	}
+	return e.print(keys, "KEY\tTYPE\tUNIT\tDEFAULT\tMEANING", rows)
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,191 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"greengagequay/internal/api"
+	"greengagequay/internal/apiserver"
+	"greengagequay/internal/clock"
+	"greengagequay/internal/config"
+	"greengagequay/internal/control"
+	"greengagequay/internal/entry"
+	"greengagequay/internal/logs"
+	"greengagequay/internal/member"
+	"greengagequay/internal/metrics"
+	"greengagequay/internal/model"
+	"greengagequay/internal/registry"
+	"greengagequay/internal/replica"
+	"greengagequay/internal/rpc"
+)
+
+// Daemon is a running process of the system.
+type Daemon struct {
+	Config  config.Config
+	Replica *replica.Replica
+	Metrics *metrics.Registry
+	Members *member.Directory
+
+	bound        *Bound
+	clock        clock.Clock
+	logs         *logs.Logger
+	log          *logs.Part
+	incarnation  uint64
+	controlBytes atomic.Int64
+	registry     *registry.Registry
+	server       *rpc.Server
+	client       *rpc.Client
+	commits      *control.FileLog // nil unless a control host
+	api          *http.Server
+	requests     *http.Server
+	streams      []*entry.Stream
+	cancel       context.CancelFunc
+	background   sync.WaitGroup
+}
+
+// Start starts the process on its bound sockets.
+func Start(b *Bound, l *logs.Logger, c clock.Clock) (*Daemon, error) {
+	if err := b.Config.Check(); err != nil {
+		b.Close()
+		return nil, err
+	}
+	d := &Daemon{
+		Config:      b.Config,
+		Replica:     replica.New(),
+		Metrics:     metrics.New(),
+		Members:     member.NewDirectory(),
+		bound:       b,
+		clock:       c,
+		logs:        l,
+		log:         l.Part("daemon"),
+		incarnation: uint64(c.Now().UnixMicro()),
+		registry:    registry.New(),
+	}
+	d.client = rpc.NewClient(&d.controlBytes)
+	d.server = rpc.NewServer(b.rpc, &d.controlBytes)
+	ctx, cancel := context.WithCancel(context.Background())
+	d.cancel = cancel
+	if err := d.start(ctx); err != nil {
+		cancel()
+		b.Close()
+		return nil, err
+	}
+	d.log.With("host", d.Config.Name).Infof("started in zone %s", d.Config.Zone)
+	return d, nil
+}
+
+func (d *Daemon) start(ctx context.Context) error {
+	if d.Config.Has(config.Control) {
+		if err := d.startControl(ctx); err != nil {
+			return err
+		}
+	}
+	if err := d.server.Register("State", &stateService{replica: d.Replica}); err != nil {
+		return err
+	}
+	d.run(d.server.Serve)
+	if !d.Config.Has(config.Control) {
+		d.run(func() { d.follow(ctx) })
+	}
+	d.startMembers(ctx)
+	if d.Config.Has(config.Entry) {
+		d.startFlows(ctx)
+		d.startRequests(ctx)
+		d.startStreams()
+	}
+	return d.startAPI()
+}
+
+func (d *Daemon) run(fn func()) {
+	d.background.Add(1)
+	go func() {
+		defer d.background.Done()
+		fn()
+	}()
+}
+
+// headerTimeout bounds the reading of a request's header.
+const headerTimeout = 10 * time.Second
+
+func (d *Daemon) startAPI() error {
+	handler := &apiserver.Server{
+		Name: d.Config.Name, Zone: d.Config.Zone, Replica: d.Replica,
+		Members: d.Members, Submit: d, Clock: d.clock,
+	}
+	server, err := api.NewServer(handler)
+	if err != nil {
+		return fmt.Errorf("build API: %w", err)
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", d.Metrics)
+	mux.Handle("/", server)
+	d.api = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	d.run(func() { d.serveHTTP(d.api, d.bound.api) })
+	return nil
+}
+
+func (d *Daemon) serveHTTP(s *http.Server, l net.Listener) {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		d.log.Errorf("HTTP server at %s ended: %v", l.Addr(), err)
+	}
+}
+
+// ControlBytes returns the bytes of control traffic sent and received.
+func (d *Daemon) ControlBytes() int64 { return d.controlBytes.Load() }
+
+// Stop shuts the process down gracefully: it takes no new work, finishes what
+// is in progress and exits. When ctx ends first, the rest is cut off.
+func (d *Daemon) Stop(ctx context.Context) error {
+	d.log.Infof("stopping")
+	for _, s := range d.streams {
+		s.Close()
+	}
+	var errs []error
+	if d.requests != nil {
+		errs = append(errs, d.requests.Shutdown(ctx))
+	}
+	d.waitStreams(ctx)
+	errs = append(errs, d.api.Shutdown(ctx))
+	d.Kill()
+	return errors.Join(errs...)
+}
+
+// Kill ends the process at once, as a crash would.
+func (d *Daemon) Kill() {
+	d.cancel()
+	d.bound.Close()
+	_ = d.api.Close()
+	if d.requests != nil {
+		_ = d.requests.Close()
+	}
+	d.server.Close()
+	d.client.Close()
+	d.background.Wait()
+	if d.commits != nil {
+		_ = d.commits.Close()
+	}
+}
+
+// self describes this host to the others.
+func (d *Daemon) self() model.Host {
+	relay, _ := netip.ParseAddrPort(d.Config.Relay)
+	return model.Host{
+		Name:        d.Config.Name,
+		Zone:        d.Config.Zone,
+		Entry:       d.Config.Has(config.Entry),
+		Control:     d.Config.Has(config.Control),
+		Incarnation: d.incarnation,
+		RPC:         d.Config.RPC,
+		Gossip:      d.Config.Gossip,
+		Relay:       relay,
+		State:       model.Alive,
+		Revision:    d.Replica.Revision(),
+	}
+}
--- /dev/null
+++ b/internal/daemon/main.go
@@ -0,0 +1,95 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"greengagequay/internal/clock"
+	"greengagequay/internal/config"
+	"greengagequay/internal/logs"
+)
+
+// Exit codes of quayd.
+const (
+	exitOK      = 0
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+type commands struct {
+	Run   runCmd   `cmd:"" help:"Run the host."`
+	Check checkCmd `cmd:"" help:"Check a settings file."`
+}
+
+type runCmd struct {
+	Config string        `help:"Settings of the process, JSON with comments." required:"" type:"path"`
+	Grace  time.Duration `help:"Longest time a graceful shutdown may take." default:"10m"`
+}
+
+type checkCmd struct {
+	Config string `help:"Settings of the process, JSON with comments." required:"" type:"path"`
+}
+
+// Main runs quayd and returns its exit code.
+func Main(args []string, out, errOut io.Writer) int {
+	var c commands
+	parser, err := kong.New(&c, kong.Name("quayd"), kong.Description("A host of greengagequay, a layer-4 load balancer."), kong.Writers(out, errOut))
+	if err != nil {
+		fmt.Fprintln(errOut, err)
+		return exitFailure
+	}
+	parsed, err := parser.Parse(args)
+	if err != nil {
+		fmt.Fprintln(errOut, "quayd:", err)
+		return exitUsage
+	}
+	if err := parsed.Run(); err != nil {
+		fmt.Fprintln(errOut, "quayd:", err)
+		return exitFailure
+	}
+	return exitOK
+}
+
+// Run checks the settings.
+func (c *checkCmd) Run() error {
+	_, err := config.Load(c.Config)
+	return err
+}
+
+// Run runs the host until it is told to stop. A second signal cuts off what
+// is still in progress.
+func (c *runCmd) Run() error {
+	cfg, err := config.Load(c.Config)
+	if err != nil {
+		return err
+	}
+	l, err := logs.New(os.Stderr, cfg.Log)
+	if err != nil {
+		return err
+	}
+	b, err := Bind(cfg)
+	if err != nil {
+		return err
+	}
+	d, err := Start(b, l, clock.Real{})
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	<-signals
+	ctx, cancel := context.WithTimeout(context.Background(), c.Grace)
+	defer cancel()
+	go func() {
+		<-signals
+		cancel()
+	}()
+	return d.Stop(ctx)
+}
--- /dev/null
+++ b/internal/entry/stream.go
@@ -0,0 +1,109 @@
+package entry
+
+import (
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync"
+
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"greengagequay/internal/logs"
+	"greengagequay/internal/metrics"
+	"greengagequay/internal/model"
+	"greengagequay/internal/replica"
+	"greengagequay/internal/table"
+)
+
+// Stream serves plain TCP connections of one service. A connection is pinned
+// to the entry host that took it.
+type Stream struct {
+	listener net.Listener
+	service  string
+	replica  *replica.Replica
+	log      *logs.Part
+	open     gometrics.Counter
+	wg       sync.WaitGroup
+}
+
+// NewStream returns a server of connections of the service.
+func NewStream(l net.Listener, service string, r *replica.Replica, m *metrics.Registry, log *logs.Part) *Stream {
+	return &Stream{listener: l, service: service, replica: r, log: log, open: m.Counter("streams.open." + service)}
+}
+
+// Serve accepts connections until Close.
+func (s *Stream) Serve() {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		s.wg.Add(1)
+		go func() {
+			defer s.wg.Done()
+			s.relay(conn.(*net.TCPConn))
+		}()
+	}
+}
+
+// Close stops accepting. Open connections go on; Wait waits for them.
+func (s *Stream) Close() { _ = s.listener.Close() }
+
+// Wait waits until all connections have ended.
+func (s *Stream) Wait() { s.wg.Wait() }
+
+func (s *Stream) relay(client *net.TCPConn) {
+	defer client.Close()
+	server := s.dial()
+	if server == nil {
+		_ = client.SetLinger(0) // resets the connection
+		return
+	}
+	defer server.Close()
+	s.open.Inc(1)
+	defer s.open.Dec(1)
+	var both sync.WaitGroup
+	both.Add(2)
+	go copyHalf(&both, server, client)
+	go copyHalf(&both, client, server)
+	both.Wait()
+}
+
+// dial connects to a ready backend server, or returns nil.
+func (s *Stream) dial() *net.TCPConn {
+	ready := s.ready()
+	rand.Shuffle(len(ready), func(i, j int) { ready[i], ready[j] = ready[j], ready[i] })
+	for _, b := range ready {
+		conn, err := net.DialTimeout("tcp", b.Stream.String(), dialTimeout)
+		if err == nil {
+			return conn.(*net.TCPConn)
+		}
+		s.log.Warnf("backend server %s refused a connection: %v", b.ID, err)
+	}
+	s.log.Warnf("service %s has no backend server for a connection", s.service)
+	return nil
+}
+
+func (s *Stream) ready() []table.Backend {
+	var ready []table.Backend
+	for _, b := range s.replica.Table().Backends {
+		if b.Service == s.service && b.State == model.Ready && b.Stream.IsValid() {
+			ready = append(ready, b)
+		}
+	}
+	return ready
+}
+
+// copyHalf copies one direction and passes its end on. An error resets both
+// sides, so that neither takes a cut stream for a whole one.
+func copyHalf(done *sync.WaitGroup, to, from *net.TCPConn) {
+	defer done.Done()
+	if _, err := io.Copy(to, from); err != nil {
+		_ = to.SetLinger(0)
+		_ = from.SetLinger(0)
+		_ = to.Close()
+		_ = from.Close()
+		return
+	}
+	_ = to.CloseWrite()
+}
--- /dev/null
+++ b/internal/replica/replica.go
@@ -0,0 +1,176 @@
+// Package replica holds a host's copy of the replicated state and the table
+// built from it. Revisions only rise.
+package replica
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"greengagequay/internal/fault"
+	"greengagequay/internal/state"
+	"greengagequay/internal/table"
+)
+
+// maxTail is the number of entries kept for peers that are behind.
+const maxTail = 4096
+
+// Entry is one committed entry of the log.
+type Entry struct {
+	Revision uint64
+	Data     []byte // encoded command, empty for an entry that changes nothing
+}
+
+// PullArgs asks for what follows a revision.
+type PullArgs struct {
+	After uint64
+	Wait  time.Duration // longest wait for news
+}
+
+// Batch is what one host sends another to catch up.
+type Batch struct {
+	Snapshot []byte  // whole state, if the entries kept do not reach back
+	Entries  []Entry // in order, without gaps after the snapshot or the asked revision
+	Revision uint64  // of the sender
+}
+
+// Replica is the copy. It is safe for concurrent use.
+type Replica struct {
+	mu      sync.Mutex
+	state   *state.State
+	tail    []Entry
+	changed chan struct{} // closed and replaced at each new revision
+	table   atomic.Pointer[table.Table]
+}
+
+// New returns an empty replica.
+func New() *Replica {
+	r := &Replica{state: state.New(), changed: make(chan struct{})}
+	r.table.Store(r.state.Table())
+	return r
+}
+
+// Table returns the table in force. It never blocks.
+func (r *Replica) Table() *table.Table { return r.table.Load() }
+
+// Revision returns the revision in force.
+func (r *Replica) Revision() uint64 { return r.Table().Revision }
+
+// Changed returns a channel that is closed when a revision after the present
+// one is in force.
+func (r *Replica) Changed() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.changed
+}
+
+// Read calls fn with the state, which fn must not keep or change.
+func (r *Replica) Read(fn func(*state.State)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	fn(r.state)
+}
+
+// Apply applies one entry and returns the command's result. An entry that is
+// already applied is ignored; an entry that leaves a gap is refused.
+func (r *Replica) Apply(e Entry) (state.Result, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	result, err := r.apply(e)
+	if err == nil {
+		r.publish()
+	}
+	return result, err
+}
+
+// Install applies a batch from another host. A batch that is older than the
+// replica changes nothing.
+func (r *Replica) Install(b Batch) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	before := r.state.Revision
+	if err := r.install(b); err != nil {
+		return err
+	}
+	if r.state.Revision != before {
+		r.publish()
+	}
+	return nil
+}
+
+func (r *Replica) install(b Batch) error {
+	if len(b.Snapshot) > 0 {
+		if err := r.restore(b.Snapshot); err != nil {
+			return err
+		}
+	}
+	for _, e := range b.Entries {
+		if _, err := r.apply(e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *Replica) restore(data []byte) error {
+	s, err := state.Restore(data)
+	if err != nil {
+		return err
+	}
+	if s.Revision <= r.state.Revision {
+		return nil // a revision never reverts
+	}
+	r.state = s
+	r.tail = nil
+	return nil
+}
+
+func (r *Replica) apply(e Entry) (state.Result, error) {
+	if e.Revision <= r.state.Revision {
+		return state.Result{Revision: e.Revision, Repeated: true}, nil
+	}
+	if e.Revision != r.state.Revision+1 {
+		return state.Result{}, fault.New(fault.Unavailable, "ask for a snapshot", "entry %d does not follow revision %d", e.Revision, r.state.Revision)
+	}
+	var cmd state.Command
+	if len(e.Data) > 0 {
+		var err error
+		if cmd, err = state.Decode(e.Data); err != nil {
+			return state.Result{}, err
+		}
+	}
+	result := r.state.Apply(e.Revision, cmd)
+	r.tail = append(r.tail, e)
+	if len(r.tail) > maxTail {
+		r.tail = append([]Entry(nil), r.tail[len(r.tail)-maxTail/2:]...)
+	}
+	return result, nil
+}
+
+func (r *Replica) publish() {
+	r.table.Store(r.state.Table())
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// After returns what a host at the given revision needs to catch up.
+func (r *Replica) After(revision uint64) (Batch, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b := Batch{Revision: r.state.Revision}
+	if revision >= r.state.Revision {
+		return b, nil
+	}
+	for i, e := range r.tail {
+		if e.Revision == revision+1 {
+			b.Entries = append(b.Entries, r.tail[i:]...)
+			return b, nil
+		}
+	}
+	snap, err := r.state.Snapshot()
+	if err != nil {
+		return Batch{}, err
+	}
+	b.Snapshot = snap
+	return b, nil
+}
--- /dev/null
+++ b/internal/standin/packets.go
@@ -0,0 +1,97 @@
+package standin
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+
+	"greengagequay/internal/flow"
+)
+
+// flowKey names a flow by its client.
+type flowKey struct {
+	addr netip.AddrPort
+	udp  bool
+}
+
+// PacketCounts is what a stand-in saw of packets.
+type PacketCounts struct {
+	Open         int // flows that are open
+	Packets      int
+	Misdelivered int // packets of another service
+	Unknown      int // packets of flows that were never opened here
+}
+
+// PacketServer takes encapsulated packets and answers callers directly: a SYN
+// with a SYN and ACK, data with an ACK, a flow it does not know with a reset.
+type PacketServer struct {
+	conn    *net.UDPConn
+	address netip.AddrPort
+	back    netip.AddrPort
+	mu      sync.Mutex
+	flows   map[flowKey]struct{}
+	counts  PacketCounts
+}
+
+func newPacketServer(conn *net.UDPConn, address, back netip.AddrPort) *PacketServer {
+	return &PacketServer{conn: conn, address: address, back: back, flows: map[flowKey]struct{}{}}
+}
+
+func (s *PacketServer) serve() {
+	parser := flow.NewParser()
+	buf := make([]byte, 65535)
+	for {
+		n, _, err := s.conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			return
+		}
+		var p flow.Packet
+		if parser.Parse(buf[:n], &p) != nil {
+			continue
+		}
+		if answer := s.handle(&p); answer != nil {
+			_, _ = s.conn.WriteToUDPAddrPort(answer, s.back)
+		}
+	}
+}
+
+func (s *PacketServer) handle(p *flow.Packet) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts.Packets++
+	if netip.AddrPortFrom(p.Dst, p.DstPort) != s.address {
+		s.counts.Misdelivered++
+	}
+	key := flowKey{addr: netip.AddrPortFrom(p.Src, p.SrcPort), udp: p.Proto != 6}
+	_, known := s.flows[key]
+	switch {
+	case p.RST || p.FIN:
+		delete(s.flows, key)
+		return nil
+	case p.Opens():
+		s.flows[key] = struct{}{}
+	case !known:
+		s.counts.Unknown++
+		answer, _ := flow.ResetFor(p)
+		return answer
+	}
+	return acknowledge(p)
+}
+
+func acknowledge(p *flow.Packet) []byte {
+	a := flow.Packet{Src: p.Dst, Dst: p.Src, SrcPort: p.DstPort, DstPort: p.SrcPort, Proto: p.Proto, ACK: true, SYN: p.SYN, Seq: p.Ack, Ack: p.Seq + uint32(p.Payload)}
+	if p.SYN {
+		a.Ack++
+	}
+	answer, _ := flow.Build(a, nil)
+	return answer
+}
+
+// Counts returns what the stand-in saw.
+func (s *PacketServer) Counts() PacketCounts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.counts
+	c.Open = len(s.flows)
+	return c
+}
--- /dev/null
+++ b/internal/state/state.go
@@ -0,0 +1,247 @@
+// Package state is the replicated state machine: settings, placement and the
+// answers to changes. Every host applies the same commands in the same order
+// and so holds the same state at the same revision. It is pure: no I/O, no
+// clock and no randomness.
+package state
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"greengagequay/internal/fault"
+	"greengagequay/internal/settings"
+	"greengagequay/internal/table"
+)
+
+// maxAnswers is the number of changes whose answers and texts are kept for
+// submissions that are repeated.
+const maxAnswers = 20000
+
+// Change is an operator's change of settings.
+type Change struct {
+	ID       string
+	Base     uint64 // settings revision it is based on
+	HasBase  bool   // false applies to any revision
+	Author   string
+	Message  string
+	Time     time.Time
+	Ops      []settings.Op
+	Revision uint64 // set once committed
+}
+
+// Command is one entry of the log. Exactly one field is set.
+type Command struct {
+	Change    *Change
+	Placement *table.Delta
+}
+
+// Result is the answer to a command.
+type Result struct {
+	Revision uint64 // at which the command is in force
+	Repeated bool   // an earlier submission of the same change took effect
+	Err      *fault.Error
+	Changed  []Change // on a conflict, what changed since the base
+}
+
+// State is the replicated state. It is not safe for concurrent use.
+type State struct {
+	Revision         uint64 // of the last command
+	SettingsRevision uint64 // of the last accepted change
+	Seed             uint64 // seed of the flow hash
+	Tree             settings.Tree
+	Placement        *table.Placement
+	history          []Change // oldest first
+	answers          map[string]uint64
+}
+
+// New returns the empty state at revision 0.
+func New() *State {
+	return &State{Placement: table.NewPlacement(), answers: map[string]uint64{}}
+}
+
+// Encode returns the stored form of a command.
+func Encode(c Command) ([]byte, error) {
+	data, err := cbor.Marshal(c)
+	if err != nil {
+		return nil, fmt.Errorf("encode command: %w", err)
+	}
+	return data, nil
+}
+
+// Decode parses the stored form of a command.
+func Decode(data []byte) (Command, error) {
+	var c Command
+	if err := cbor.Unmarshal(data, &c); err != nil {
+		return Command{}, fault.New(fault.Corrupt, "restore the data folder from a snapshot", "decode command: %w", err)
+	}
+	return c, nil
+}
+
+// Apply applies the command at the given revision, which must be larger than
+// the state's. The revision counts as reached even if the command is refused.
+func (s *State) Apply(revision uint64, c Command) Result {
+	s.Revision = revision
+	switch {
+	case c.Change != nil:
+		return s.applyChange(revision, *c.Change)
+	case c.Placement != nil:
+		if !s.Placement.Apply(*c.Placement, revision) {
+			return Result{Revision: revision, Err: fault.New(fault.Conflict, "compute it again", "placement is based on revision %d, not %d", c.Placement.Base, s.Placement.Revision)}
+		}
+	}
+	return Result{Revision: revision}
+}
+
+func (s *State) applyChange(revision uint64, c Change) Result {
+	if answer, ok := s.Answer(c.ID); ok {
+		return answer
+	}
+	if c.HasBase && c.Base != s.SettingsRevision {
+		return s.conflict(c)
+	}
+	tree, err := s.Tree.Apply(c.Ops)
+	if err != nil {
+		return Result{Err: fault.From(err)}
+	}
+	c.Revision = revision
+	s.Tree = tree
+	s.SettingsRevision = revision
+	s.remember(c)
+	return Result{Revision: revision}
+}
+
+// Answer returns the answer that the change with the given id has had.
+func (s *State) Answer(id string) (Result, bool) {
+	revision, ok := s.answers[id]
+	return Result{Revision: revision, Repeated: ok}, ok
+}
+
+// Check reports what Apply would answer to the change, without applying it.
+func (s *State) Check(c Change) Result {
+	if answer, ok := s.Answer(c.ID); ok {
+		return answer
+	}
+	if c.HasBase && c.Base != s.SettingsRevision {
+		return s.conflict(c)
+	}
+	if _, err := s.Tree.Apply(c.Ops); err != nil {
+		return Result{Err: fault.From(err)}
+	}
+	return Result{Revision: s.SettingsRevision}
+}
+
+func (s *State) conflict(c Change) Result {
+	return Result{
+		Err:     fault.New(fault.Conflict, "look at what changed and submit it again on the new revision", "change %q is based on settings revision %d, but %d is in force", c.ID, c.Base, s.SettingsRevision),
+		Changed: s.ChangesAfter(c.Base),
+	}
+}
+
+func (s *State) remember(c Change) {
+	s.history = append(s.history, c)
+	s.answers[c.ID] = c.Revision
+	if len(s.history) <= maxAnswers {
+		return
+	}
+	delete(s.answers, s.history[0].ID)
+	s.history = s.history[1:]
+}
+
+// ChangesAfter returns the kept changes with a larger revision, oldest first.
+func (s *State) ChangesAfter(revision uint64) []Change {
+	for i, c := range s.history {
+		if c.Revision > revision {
+			return append([]Change(nil), s.history[i:]...)
+		}
+	}
+	return nil
+}
+
+// snapshot is the stored form of a State.
+type snapshot struct {
+	Revision         uint64
+	SettingsRevision uint64
+	Seed             uint64
+	Settings         []settings.Op
+	Placement        *table.Placement
+	History          []Change
+}
+
+// Snapshot returns the encoded state.
+func (s *State) Snapshot() ([]byte, error) {
+	snap := snapshot{
+		Revision:         s.Revision,
+		SettingsRevision: s.SettingsRevision,
+		Seed:             s.Seed,
+		Settings:         s.Tree.Export(),
+		Placement:        s.Placement,
+		History:          s.history,
+	}
+	data, err := cbor.Marshal(snap)
+	if err != nil {
+		return nil, fmt.Errorf("encode snapshot: %w", err)
+	}
+	return data, nil
+}
+
+// Restore returns the state that Snapshot encoded.
+func Restore(data []byte) (*State, error) {
+	var snap snapshot
+	if err := cbor.Unmarshal(data, &snap); err != nil {
+		return nil, fault.New(fault.Corrupt, "take another snapshot", "decode snapshot: %w", err)
+	}
+	s := New()
+	s.Revision, s.SettingsRevision, s.Seed = snap.Revision, snap.SettingsRevision, snap.Seed
+	s.Tree = settings.Import(snap.Settings)
+	if snap.Placement != nil {
+		s.Placement = snap.Placement.Clone()
+	}
+	for _, c := range snap.History {
+		s.remember(c)
+	}
+	return s, nil
+}
+
+// Table builds the data path's view of the state.
+func (s *State) Table() *table.Table {
+	t := &table.Table{
+		Revision:  s.Revision,
+		Seed:      s.Seed,
+		ByAddress: map[table.Endpoint]*table.Service{},
+		ByName:    map[string]*table.Service{},
+	}
+	p := s.Placement.Clone()
+	t.Backends, t.Hosts = p.Backends, p.Hosts
+	for _, name := range s.Tree.Services() {
+		buckets := p.Buckets[name]
+		if len(buckets) == 0 {
+			buckets = make([]table.Bucket, s.Tree.Int(settings.Path(name), settings.FlowBuckets))
+		}
+		svc := &table.Service{Name: name, Mask: uint64(len(buckets) - 1), Buckets: buckets}
+		t.ByName[name] = svc
+		for _, text := range s.Tree.TextList(settings.Path(name), settings.ServiceAddresses) {
+			addr, err := settings.ParseAddress(text)
+			if err != nil {
+				continue // refused when the change was checked
+			}
+			t.ByAddress[endpoint(addr)] = svc
+		}
+	}
+	return t
+}
+
+func endpoint(a settings.Address) table.Endpoint {
+	proto := uint8(protoTCP)
+	if a.UDP {
+		proto = protoUDP
+	}
+	return table.Endpoint{Addr: a.AddrPort.Addr().Unmap(), Port: a.AddrPort.Port(), Proto: proto}
+}
+
+// IP protocol numbers.
+const (
+	protoTCP = 6
+	protoUDP = 17
+)
--- /dev/null
+++ b/internal/state/state_test.go
@@ -0,0 +1,54 @@
+package state_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"greengagequay/internal/fault"
+	"greengagequay/internal/settings"
+	"greengagequay/internal/state"
+)
+
+func change(id string, base uint64, ops ...settings.Op) state.Command {
+	return state.Command{Change: &state.Change{ID: id, Base: base, HasBase: true, Ops: ops}}
+}
+
+func set(path, key, value string) settings.Op {
+	return settings.Op{Action: settings.Set, Path: path, Key: key, Value: value}
+}
+
+func TestSameIDGetsSameAnswer(t *testing.T) {
+	c := qt.New(t)
+	s := state.New()
+	first := s.Apply(1, change("a", 0, set("/", settings.RequestQueue, "3")))
+	c.Assert(first.Err == nil, qt.IsTrue)
+	again := s.Apply(2, change("a", 0, set("/", settings.RequestQueue, "3")))
+	c.Assert(again.Err == nil, qt.IsTrue)
+	c.Assert(again.Revision, qt.Equals, first.Revision)
+	c.Assert(again.Repeated, qt.IsTrue)
+}
+
+func TestOneOfTwoOperatorsWins(t *testing.T) {
+	c := qt.New(t)
+	s := state.New()
+	won := s.Apply(1, change("a", 0, set("/", settings.RequestQueue, "3")))
+	lost := s.Apply(2, change("b", 0, set("/", settings.RequestQueue, "4")))
+	c.Assert(won.Err == nil, qt.IsTrue)
+	c.Assert(lost.Err.Kind, qt.Equals, fault.Conflict)
+	c.Assert(lost.Changed, qt.HasLen, 1)
+	c.Assert(s.Tree.Int("/", settings.RequestQueue), qt.Equals, 3)
+}
+
+func TestSnapshotKeepsAnswers(t *testing.T) {
+	c := qt.New(t)
+	s := state.New()
+	s.Apply(1, change("a", 0, set("/pantanir", settings.ServiceZones, `["rvk-a"]`)))
+	data, err := s.Snapshot()
+	c.Assert(err, qt.IsNil)
+	restored, err := state.Restore(data)
+	c.Assert(err, qt.IsNil)
+	c.Assert(restored.Tree.Services(), qt.DeepEquals, []string{"pantanir"})
+	again := restored.Apply(2, change("a", 0))
+	c.Assert(again.Revision, qt.Equals, uint64(1))
+}
