--- /dev/null
+++ b/internal/records/batch.go
@@ -0,0 +1,55 @@
+package records
+
+import (
+	"encoding/binary"
+	"time"
+
+	"greengagequay/internal/fault"
+	"greengagequay/internal/table"
+)
+
+// wireBytes is the size of one record in a batch.
+const wireBytes = 12
+
+// BucketStatus is what the home of a bucket knows about it. Controllers read
+// it to decide when a move may go on.
+type BucketStatus struct {
+	Service    string
+	Bucket     int
+	Since      uint64        // revision at which the bucket entered its phase
+	SettledFor time.Duration // how long this host has seen every packet of the bucket
+	Exceptions int           // records of candidates other than the newest
+	Copied     bool          // every backup holds all records
+}
+
+// Batch carries the records of one bucket from its home to a backup.
+type Batch struct {
+	Service string
+	Bucket  int
+	Data    []byte // encoded records
+}
+
+// Encode returns the wire form of records.
+func Encode(records []Record) []byte {
+	data := make([]byte, 0, len(records)*wireBytes)
+	for _, r := range records {
+		data = binary.LittleEndian.AppendUint64(data, r.Flow)
+		data = binary.LittleEndian.AppendUint32(data, uint32(r.Backend))
+	}
+	return data
+}
+
+// Decode parses the wire form of records.
+func Decode(data []byte) ([]Record, error) {
+	if len(data)%wireBytes != 0 {
+		return nil, fault.New(fault.Invalid, "run the same version on all hosts", "records of %d bytes are cut short", len(data))
+	}
+	records := make([]Record, 0, len(data)/wireBytes)
+	for ; len(data) > 0; data = data[wireBytes:] {
+		records = append(records, Record{
+			Flow:    binary.LittleEndian.Uint64(data),
+			Backend: table.BackendNum(binary.LittleEndian.Uint32(data[8:])),
+		})
+	}
+	return records, nil
+}
