Spread the state down a tree of long polls in each zone

Cause: every host polled the control hosts, whose cost grew with the fleet, and a hanging or cut-off control host was followed as long as it answered. Change: internal/follow chooses sources by rank in the zone, remembers failures, passes over sources whose state is old, and asks elsewhere for a revision that other hosts have. A starting host asks all its sources first.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"greengagequay/internal/config"
 	"greengagequay/internal/control"
 	"greengagequay/internal/entry"
+	"greengagequay/internal/follow"
 	"greengagequay/internal/logs"
 	"greengagequay/internal/member"
 	"greengagequay/internal/metrics"
@@ -39,6 +40,7 @@
 	log          *logs.Part
 	incarnation  uint64
 	controlBytes atomic.Int64
+	freshness    follow.Freshness
 	registry     *registry.Registry
 	server       *rpc.Server
 	client       *rpc.Client
@@ -87,12 +89,12 @@
 			return err
 		}
 	}
-	if err := d.server.Register("State", &stateService{replica: d.Replica}); err != nil {
+	if err := d.server.Register("State", &stateService{d: d}); err != nil {
 		return err
 	}
 	d.run(d.server.Serve)
 	if !d.Config.Has(config.Control) {
-		d.run(func() { d.follow(ctx) })
+		d.startFollow(ctx)
 	}
 	d.startMembers(ctx)
 	if d.Config.Has(config.Entry) {
--- a/internal/daemon/follow.go
+++ b/internal/daemon/follow.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"greengagequay/internal/fault"
+	"greengagequay/internal/follow"
+	"greengagequay/internal/logs"
 	"greengagequay/internal/replica"
 	"greengagequay/internal/rpc"
 	"greengagequay/internal/state"
@@ -13,53 +16,159 @@
 
 // Times of calls between hosts.
 const (
-	callTimeout = 2 * time.Second
-	pullWait    = time.Second            // a pull waits this long for news
-	retryPause  = 200 * time.Millisecond // pause after a failed call
+	callTimeout   = 2 * time.Second
+	retryPause    = 100 * time.Millisecond // shortest pause when no source can be asked
+	hedgeInterval = 250 * time.Millisecond
+	catchUpLimit  = 2 * time.Second // a starting host waits this long for its sources
 )
 
 // stateService serves the replica to other hosts.
-type stateService struct{ replica *replica.Replica }
+type stateService struct{ d *Daemon }
 
 // Pull answers once there is something after the revision, or when the wait
 // is over.
 func (s *stateService) Pull(args replica.PullArgs, out *replica.Batch) error {
-	changed := s.replica.Changed()
-	if s.replica.Revision() <= args.After {
+	r := s.d.Replica
+	start := s.d.clock.Now()
+	changed := r.Changed()
+	if r.Revision() <= args.After {
 		select {
 		case <-changed:
-		case <-time.After(min(args.Wait, callTimeout)):
+		case <-s.d.clock.After(min(args.Wait, follow.PullWait)):
 		}
 	}
-	batch, err := s.replica.After(args.After)
+	batch, err := r.After(args.After)
+	now := s.d.clock.Now()
+	batch.Waited = now.Sub(start)
+	batch.Age, batch.AgeKnown = s.d.stateAge(now)
 	*out = batch
 	return rpc.EncodeError(err)
 }
 
-// follow keeps the replica in step with the control hosts.
-func (d *Daemon) follow(ctx context.Context) {
-	log := d.logs.Part("follow")
-	for i := 0; ctx.Err() == nil; i++ {
-		peer := d.Config.Control[i%len(d.Config.Control)]
-		for d.pull(ctx, peer.RPC) == nil {
+// stateAge returns how long ago this host's state was last known to be
+// current, or false if it never was.
+func (d *Daemon) stateAge(now time.Time) (time.Duration, bool) {
+	if d.commits != nil {
+		return 0, true
+	}
+	return d.freshness.Age(now)
+}
+
+// follower keeps the replica in step with the hosts above it in the tree.
+type follower struct {
+	d    *Daemon
+	log  *logs.Part
+	mu   sync.Mutex
+	core *follow.Core
+}
+
+func (d *Daemon) startFollow(ctx context.Context) {
+	f := &follower{d: d, log: d.logs.Part("follow"), core: follow.New()}
+	f.catchUp(ctx)
+	d.run(func() { f.run(ctx) })
+	d.run(func() { f.hedge(ctx) })
+}
+
+// catchUp asks more than one source before the host takes traffic, so that a
+// single stale source cannot take a restarted host back to an old revision.
+// A host that reaches no source goes on without.
+func (f *follower) catchUp(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, catchUpLimit)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, s := range f.refresh() {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			f.pull(ctx, s, 0)
+		}()
+	}
+	wg.Wait()
+}
+
+// run pulls from one source after the other until ctx ends.
+func (f *follower) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		f.refresh()
+		f.mu.Lock()
+		source, wait, ok := f.core.Next(f.d.clock.Now())
+		f.mu.Unlock()
+		if !ok || wait > 0 {
+			f.d.pause(ctx, max(wait, retryPause))
+			continue
 		}
-		if ctx.Err() != nil {
-			return
+		f.pull(ctx, source, follow.PullWait)
+	}
+}
+
+// hedge pulls from another source when a revision that other hosts have is
+// missing here for too long.
+func (f *follower) hedge(ctx context.Context) {
+	for ctx.Err() == nil {
+		f.d.pause(ctx, hedgeInterval)
+		known := f.knownRevision()
+		f.mu.Lock()
+		source, ok := f.core.Hedge(f.d.clock.Now(), known, f.d.Replica.Revision())
+		f.mu.Unlock()
+		if ok {
+			f.log.Debugf("revision %d is missing, asking host %s too", known, source.Name)
+			f.pull(ctx, source, 0)
 		}
-		log.Debugf("control host %s does not answer", peer.Name)
-		d.pause(ctx, retryPause)
 	}
 }
 
-func (d *Daemon) pull(ctx context.Context, addr string) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+// knownRevision returns the largest revision that any host has in force.
+func (f *follower) knownRevision() uint64 {
+	var known uint64
+	for _, h := range f.d.Members.Hosts() {
+		known = max(known, h.Revision)
+	}
+	return known
+}
+
+// refresh updates the sources from the present members and returns them.
+func (f *follower) refresh() []follow.Source {
+	var control []follow.Source
+	for _, p := range f.d.Config.Control {
+		control = append(control, follow.Source(p))
+	}
+	sources := follow.Sources(f.d.Config.Name, f.d.Members.Hosts(), control)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.core.SetSources(sources)
+	return sources
+}
+
+// pull takes the state from the source once.
+func (f *follower) pull(ctx context.Context, s follow.Source, wait time.Duration) {
+	callCtx, cancel := context.WithTimeout(ctx, follow.PullTimeout)
 	defer cancel()
 	var batch replica.Batch
-	args := replica.PullArgs{After: d.Replica.Revision(), Wait: pullWait}
-	if err := d.client.Call(ctx, addr, "State.Pull", args, &batch); err != nil {
-		return err
+	sent := f.d.clock.Now()
+	args := replica.PullArgs{After: f.d.Replica.Revision(), Wait: wait}
+	err := f.d.client.Call(callCtx, s.RPC, "State.Pull", args, &batch)
+	if err == nil {
+		err = f.d.Replica.Install(batch)
+	}
+	f.note(s, sent, batch, err)
+}
+
+// note tells the core what came of a pull.
+func (f *follower) note(s follow.Source, sent time.Time, batch replica.Batch, err error) {
+	now := f.d.clock.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err != nil {
+		f.core.Failed(now, s.Name)
+		f.log.Debugf("host %s gives no state: %v", s.Name, err)
+		return
+	}
+	if !batch.AgeKnown {
+		f.core.Stale(now, s.Name)
+		return
 	}
-	return d.Replica.Install(batch)
+	f.core.Pulled(now, s.Name, batch.Age)
+	f.d.freshness.Confirm(sent.Add(batch.Waited), batch.Age)
 }
 
 func (d *Daemon) pause(ctx context.Context, t time.Duration) {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -29,9 +29,12 @@
 
 // Batch is what one host sends another to catch up.
 type Batch struct {
-	Snapshot []byte  // whole state, if the entries kept do not reach back
-	Entries  []Entry // in order, without gaps after the snapshot or the asked revision
-	Revision uint64  // of the sender
+	Snapshot []byte        // whole state, if the entries kept do not reach back
+	Entries  []Entry       // in order, without gaps after the snapshot or the asked revision
+	Revision uint64        // of the sender
+	Age      time.Duration // since the sender's state was last known to be current
+	AgeKnown bool          // false if the sender's state was never known to be current
+	Waited   time.Duration // how long the sender held the pull open
 }
 
 // Replica is the copy. It is safe for concurrent use.
