Make buckets fixed in size and the placement copy-on-write

Cause: a bucket held two slices, so 460,000 buckets would be a million small objects, and each reader had to work out from the phase which candidate takes new flows. The placement loop shared a file with the control host's service.

Change: Bucket is an array type that names its target (new flows) and its fallback (flows without a record); Opening and Unknown return them. Placement copies only what a delta changes once a view was taken. The placement loop is in a file of its own.

Conclusion: no change of behaviour; route and demo use the new methods.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -147,7 +147,7 @@
 		}
 		for _, svc := range t.ByName {
 			for _, b := range svc.Buckets {
-				if len(b.Candidates) == 0 {
+				if b.Opening() == 0 {
 					return false
 				}
 			}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -105,8 +105,8 @@
 	quota := apportion(count, ready)
 	var homeless []int
 	for i, b := range buckets {
-		if len(b.Candidates) > 0 && quota[b.Candidates[0]] > 0 {
-			quota[b.Candidates[0]]--
+		if quota[b.Oldest()] > 0 {
+			quota[b.Oldest()]--
 			continue
 		}
 		homeless = append(homeless, i)
@@ -114,9 +114,9 @@
 	for _, i := range homeless {
 		update := table.BucketUpdate{Service: service, Index: i, Count: count}
 		if num, ok := takeQuota(quota, ready); ok {
-			update.Bucket.Candidates = []table.BackendNum{num}
+			update.Bucket = table.StableAt(num)
 		}
-		if len(buckets[i].Candidates) > 0 || len(update.Bucket.Candidates) > 0 {
+		if buckets[i].Oldest() != 0 || update.Bucket.Oldest() != 0 {
 			d.SetBuckets = append(d.SetBuckets, update)
 		}
 	}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -44,8 +44,8 @@
 		return Verdict{Action: Drop, Reason: UnknownService}
 	}
 	bucket := &svc.Buckets[p.Hash(t.Seed)&svc.Mask]
-	if len(bucket.Candidates) == 0 {
+	if bucket.Opening() == 0 {
 		return Verdict{Action: Reset, Reason: NoBackend, Service: svc}
 	}
-	return Verdict{Action: Forward, Service: svc, Backend: bucket.Candidates[0]}
+	return Verdict{Action: Forward, Service: svc, Backend: bucket.Opening()}
 }
--- /dev/null
+++ b/internal/table/placement.go
@@ -0,0 +1,215 @@
+package table
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+
+	"greengagequay/internal/model"
+)
+
+// Backend is a backend server that the placement knows.
+type Backend struct {
+	Num     BackendNum
+	ID      string
+	Service string
+	Zone    string
+	State   model.BackendState
+	Packet  netip.AddrPort
+	Request netip.AddrPort
+	Stream  netip.AddrPort
+	Slots   int
+	Weight  int
+	// Incarnation separates restarts of the backend server.
+	Incarnation uint64
+	// Entered is when State was entered, in Unix milliseconds.
+	Entered int64
+}
+
+// Host is an entry host that the placement knows.
+type Host struct {
+	Num   HostNum
+	Name  string
+	Zone  string
+	RPC   string
+	Relay netip.AddrPort
+	// Incarnation separates restarts of the host.
+	Incarnation uint64
+}
+
+// Placement is the replicated part of the table. It is not safe for
+// concurrent use.
+type Placement struct {
+	Revision uint64 // of the last delta
+	Backends map[BackendNum]Backend
+	Hosts    map[HostNum]Host
+	Buckets  map[string][]Bucket // by service
+	NextNum  uint32              // next number of a backend server or host
+
+	owned ownership
+}
+
+// ownership tells which parts of a placement no view shares. Parts that are
+// shared are copied before they change.
+type ownership struct {
+	backends, hosts, services bool
+	buckets                   map[string]bool
+}
+
+// Delta changes a placement. It is applied only to the placement revision it
+// is based on, so that a controller which lost its leadership changes nothing.
+type Delta struct {
+	Base           uint64
+	SetBackends    []Backend
+	RemoveBackends []BackendNum
+	SetHosts       []Host
+	RemoveHosts    []HostNum
+	SetBuckets     []BucketUpdate
+	RemoveServices []string
+	NextNum        uint32
+}
+
+// BucketUpdate replaces one bucket.
+type BucketUpdate struct {
+	Service string
+	Index   int
+	Count   int // number of buckets of the service
+	Bucket  Bucket
+}
+
+// Empty reports whether the delta changes nothing.
+func (d Delta) Empty() bool {
+	return len(d.SetBackends)+len(d.RemoveBackends)+len(d.SetHosts)+len(d.RemoveHosts)+len(d.SetBuckets)+len(d.RemoveServices) == 0
+}
+
+// NewPlacement returns an empty placement.
+func NewPlacement() *Placement {
+	return &Placement{
+		Backends: map[BackendNum]Backend{},
+		Hosts:    map[HostNum]Host{},
+		Buckets:  map[string][]Bucket{},
+		NextNum:  1,
+	}
+}
+
+// Apply applies the delta in place as the given revision. It reports false and
+// changes nothing if the delta is based on another revision. Views taken
+// before do not change.
+func (p *Placement) Apply(d Delta, revision uint64) bool {
+	if d.Base != p.Revision {
+		return false
+	}
+	p.applyBackends(d)
+	p.applyHosts(d)
+	p.applyBuckets(d, revision)
+	p.NextNum = max(p.NextNum, d.NextNum)
+	p.Revision = revision
+	return true
+}
+
+func (p *Placement) applyBackends(d Delta) {
+	if len(d.SetBackends)+len(d.RemoveBackends) == 0 {
+		return
+	}
+	if !p.owned.backends {
+		p.Backends = cloneMap(p.Backends)
+		p.owned.backends = true
+	}
+	for _, b := range d.SetBackends {
+		p.Backends[b.Num] = b
+	}
+	for _, n := range d.RemoveBackends {
+		delete(p.Backends, n)
+	}
+}
+
+func (p *Placement) applyHosts(d Delta) {
+	if len(d.SetHosts)+len(d.RemoveHosts) == 0 {
+		return
+	}
+	if !p.owned.hosts {
+		p.Hosts = cloneMap(p.Hosts)
+		p.owned.hosts = true
+	}
+	for _, h := range d.SetHosts {
+		p.Hosts[h.Num] = h
+	}
+	for _, n := range d.RemoveHosts {
+		delete(p.Hosts, n)
+	}
+}
+
+func (p *Placement) applyBuckets(d Delta, revision uint64) {
+	if len(d.SetBuckets)+len(d.RemoveServices) == 0 {
+		return
+	}
+	if !p.owned.services {
+		p.Buckets = cloneMap(p.Buckets)
+		p.owned.services = true
+	}
+	for _, u := range d.SetBuckets {
+		buckets := p.ownBuckets(u.Service, u.Count)
+		if u.Index < 0 || u.Index >= len(buckets) {
+			continue
+		}
+		old := &buckets[u.Index]
+		if u.Bucket.routesLike(old) {
+			u.Bucket.Since = old.Since
+		} else {
+			u.Bucket.Since = revision
+		}
+		*old = u.Bucket
+	}
+	for _, s := range d.RemoveServices {
+		delete(p.Buckets, s)
+		delete(p.owned.buckets, s)
+	}
+}
+
+// ownBuckets returns the buckets of a service, which no view shares.
+func (p *Placement) ownBuckets(service string, count int) []Bucket {
+	if p.owned.buckets[service] && len(p.Buckets[service]) == count {
+		return p.Buckets[service]
+	}
+	if len(p.Buckets[service]) == count {
+		p.Buckets[service] = slices.Clone(p.Buckets[service])
+	} else {
+		p.Buckets[service] = make([]Bucket, count)
+	}
+	if p.owned.buckets == nil {
+		p.owned.buckets = map[string]bool{}
+	}
+	p.owned.buckets[service] = true
+	return p.Buckets[service]
+}
+
+// View returns a copy that later changes of p do not reach. The copy shares
+// all parts with p until either is changed with Apply.
+func (p *Placement) View() *Placement {
+	p.owned = ownership{}
+	c := *p
+	return &c
+}
+
+// Clone returns a copy that shares nothing with p.
+func (p *Placement) Clone() *Placement {
+	c := &Placement{
+		Revision: p.Revision,
+		Backends: cloneMap(p.Backends),
+		Hosts:    cloneMap(p.Hosts),
+		Buckets:  make(map[string][]Bucket, len(p.Buckets)),
+		NextNum:  p.NextNum,
+	}
+	for k, v := range p.Buckets {
+		c.Buckets[k] = slices.Clone(v)
+	}
+	return c
+}
+
+// cloneMap returns a copy that is never nil.
+func cloneMap[K comparable, V any](m map[K]V) map[K]V {
+	if m == nil {
+		return map[K]V{}
+	}
+	return maps.Clone(m)
+}
