--- a/internal/records/batch.go
+++ b/internal/records/batch.go
@@ -11,18 +11,28 @@
 // wireBytes is the size of one record in a batch.
 const wireBytes = 12
 
-// BucketStatus is what the home of a bucket knows about it. Controllers read
-// it to decide when a move may go on.
+// BucketStatus is what the home of a moving bucket knows about it. Controllers
+// read it to decide when a move may go on.
 type BucketStatus struct {
 	Service    string
 	Bucket     int
-	Since      uint64        // revision at which the bucket entered its phase
-	SettledFor time.Duration // how long this host has seen every packet of the bucket
-	Exceptions int           // records of candidates other than the newest
-	Copied     bool          // every backup holds all records
+	Since      uint64        // revision of the bucket, as the home sees it
+	Home       table.HostNum // the reporting host
+	SettledFor time.Duration // how long the home has seen every packet of the bucket
+	Exceptions int           // records of candidates other than the one for new flows
+	// Done is true when the home has done what the phase waits for: in Move,
+	// SettledFor exceeds the idle timeout; in Settle, no exception is left.
+	Done   bool
+	Copies []CopyStatus
 }
 
-// Batch carries the records of one bucket from its home to a backup.
+// CopyStatus tells that a backup holds every record of a bucket.
+type CopyStatus struct {
+	Backup      table.HostNum
+	Incarnation uint64 // of the backup
+}
+
+// Batch carries records of one bucket from its home to a backup.
 type Batch struct {
 	Service string
 	Bucket  int
--- a/internal/route/cutoff.go
+++ b/internal/route/cutoff.go
@@ -119,9 +119,6 @@
 	if !r.Records.Put(records.Record{Flow: d.flow, Backend: n}, records.Confirmed, now) {
 		return d.verdict(Drop, Full)
 	}
-	if n != d.bucket.Unknown() {
-		r.kept.add(d.svc.Name, int(d.index))
-	}
 	return d.forward(n)
 }
 
