Relay packets of moving buckets over real sockets

Cause: the routing core knew of homes and backups, but entry hosts dropped whatever was not to be forwarded.

A host that no control host answers goes on as cut off.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -48,6 +48,9 @@
 	api          *http.Server
 	requests     *http.Server
 	streams      []*entry.Stream
+	flows        *flows       // nil unless an entry host
+	leaving      atomic.Bool  // set once the host has begun to shut down
+	lastAnswer   atomic.Int64 // when the last answered report was sent, Unix milliseconds
 	cancel       context.CancelFunc
 	background   sync.WaitGroup
 }
@@ -98,7 +101,9 @@
 	}
 	d.startMembers(ctx)
 	if d.Config.Has(config.Entry) {
-		d.startFlows(ctx)
+		if err := d.startFlows(ctx); err != nil {
+			return err
+		}
 		d.startRequests(ctx)
 		d.startStreams()
 	}
@@ -154,6 +159,7 @@
 		errs = append(errs, d.requests.Shutdown(ctx))
 	}
 	d.waitStreams(ctx)
+	d.leaveFlows(ctx)
 	errs = append(errs, d.api.Shutdown(ctx))
 	d.Kill()
 	return errors.Join(errs...)
@@ -178,6 +184,10 @@
 // self describes this host to the others.
 func (d *Daemon) self() model.Host {
 	relay, _ := netip.ParseAddrPort(d.Config.Relay)
+	hostState := model.Alive
+	if d.leaving.Load() {
+		hostState = model.Leaving
+	}
 	return model.Host{
 		Name:        d.Config.Name,
 		Zone:        d.Config.Zone,
@@ -187,7 +197,7 @@
 		RPC:         d.Config.RPC,
 		Gossip:      d.Config.Gossip,
 		Relay:       relay,
-		State:       model.Alive,
+		State:       hostState,
 		Revision:    d.Replica.Revision(),
 	}
 }
--- a/internal/daemon/flows.go
+++ b/internal/daemon/flows.go
@@ -2,16 +2,191 @@
 
 import (
 	"context"
+	"sync"
+	"time"
 
 	"greengagequay/internal/entry"
+	"greengagequay/internal/model"
+	"greengagequay/internal/records"
+	"greengagequay/internal/route"
+	"greengagequay/internal/rpc"
+	"greengagequay/internal/settings"
+	"greengagequay/internal/state"
+	"greengagequay/internal/table"
 )
 
 // forwarders is the number of goroutines that route packets of one socket.
 const forwarders = 2
 
-func (d *Daemon) startFlows(context.Context) {
-	f := entry.NewForwarder(entry.NewUDPFabric(d.bound.packets), d.Replica, d.Metrics)
+// Limits and times of flows.
+const (
+	maxRecords     = 1 << 20
+	flowInterval   = 100 * time.Millisecond // between two steps of the keeper
+	expireInterval = time.Second
+	// hostLease is shorter than the silence after which the controllers stop
+	// to wait for a host, so that the host knows first.
+	hostLease  = 1500 * time.Millisecond
+	leaveLimit = 5 * time.Second // longest hand-over of a host that leaves
+)
+
+// flows is the flow part of an entry host.
+type flows struct {
+	d         *Daemon
+	router    *route.Router
+	forwarder *entry.Forwarder
+	views     viewCache
+
+	mu     sync.Mutex // guards keeper
+	keeper *route.Keeper
+}
+
+func (d *Daemon) startFlows(ctx context.Context) error {
+	f := &flows{d: d, router: route.NewRouter(maxRecords)}
+	f.keeper = route.NewKeeper(f.router, f.idle)
+	f.views.init(d, f.router)
+	f.forwarder = entry.NewForwarder(entry.Options{
+		Fabric:  entry.NewUDPFabric(d.bound.packets),
+		Relay:   entry.NewUDPFabric(d.bound.relay),
+		Router:  f.router,
+		Stalls:  route.NewStalls(f.stallTimeout()),
+		View:    f.views.view,
+		Now:     d.clock.Now,
+		Metrics: d.Metrics,
+	})
+	d.flows = f
+	if err := d.server.Register("Flows", &flowService{f: f}); err != nil {
+		return err
+	}
 	for range forwarders {
-		d.run(f.Serve)
+		d.run(f.forwarder.Serve)
+		d.run(f.forwarder.ServeRelay)
+	}
+	d.run(func() { f.keep(ctx) })
+	return nil
+}
+
+func (f *flows) idle(service string) (t time.Duration) {
+	f.d.Replica.Read(func(s *state.State) {
+		t = s.Tree.Duration(settings.Path(service), settings.FlowIdleTimeout)
+	})
+	return t
+}
+
+func (f *flows) stallTimeout() (t time.Duration) {
+	f.d.Replica.Read(func(s *state.State) { t = s.Tree.Duration("/", settings.FlowStallTimeout) })
+	return t
+}
+
+// keep copies records to backups and forgets idle flows until ctx ends.
+func (f *flows) keep(ctx context.Context) {
+	size := f.d.Metrics.Gauge("flows.records")
+	expired := f.d.clock.Now()
+	for ctx.Err() == nil {
+		f.d.pause(ctx, flowInterval)
+		now := f.d.clock.Now()
+		f.views.refresh(now)
+		f.mu.Lock()
+		copies := f.keeper.Step(now, f.views.view())
+		f.mu.Unlock()
+		for _, c := range copies {
+			f.send(ctx, c)
+		}
+		if now.Sub(expired) >= expireInterval {
+			expired = now
+			f.expire()
+		}
+		size.Update(int64(f.router.Records.Len()))
+	}
+}
+
+// closingIdle is the idle time of a flow that its client has ended.
+const closingIdle records.Seconds = 60
+
+func (f *flows) expire() {
+	view := f.views.view()
+	idle := map[string]records.Seconds{}
+	for name := range view.Table.ByName {
+		idle[name] = records.Seconds(f.idle(name) / time.Second)
+	}
+	f.router.Records.Expire(f.forwarder.Seconds(), func(n table.BackendNum, flags records.Flag) records.Seconds {
+		if flags&records.Closing != 0 {
+			return closingIdle
+		}
+		return idle[view.Table.Backends[n].Service]
+	})
+}
+
+// send copies records to a backup.
+func (f *flows) send(ctx context.Context, c route.Copy) {
+	host, ok := f.views.view().Table.Hosts[c.To]
+	if !ok {
+		return
+	}
+	f.d.run(func() {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		if f.d.client.Call(ctx, host.RPC, "Flows.Install", c.Batch, &struct{}{}) != nil {
+			return
+		}
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.keeper.Acked(f.d.clock.Now(), c)
+	})
+}
+
+// FlowReport is what an entry host reports about moving buckets.
+type FlowReport struct {
+	Buckets []records.BucketStatus
+}
+
+// flowService answers calls about flows from other hosts.
+type flowService struct{ f *flows }
+
+// Install takes over records as a backup.
+func (s *flowService) Install(b records.Batch, _ *struct{}) error {
+	return rpc.EncodeError(s.f.router.Install(s.f.forwarder.Seconds(), b))
+}
+
+// Report returns the state of the moving buckets whose home this host is.
+func (s *flowService) Report(_ struct{}, out *FlowReport) error {
+	*out = s.f.report()
+	return nil
+}
+
+func (f *flows) report() FlowReport {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return FlowReport{Buckets: f.keeper.Status(f.d.clock.Now())}
+}
+
+// leaveFlows hands over the buckets whose home this host is: it announces that
+// it leaves and waits until no table of a host that is alive names it as a
+// home, or until the limit has passed.
+func (d *Daemon) leaveFlows(ctx context.Context) {
+	if d.flows == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, leaveLimit)
+	defer cancel()
+	d.leaving.Store(true)
+	for ctx.Err() == nil && !d.handedOver() {
+		d.pause(ctx, flowInterval)
+	}
+}
+
+func (d *Daemon) handedOver() bool {
+	view := d.flows.views.view()
+	for _, svc := range view.Table.ByName {
+		for i := range svc.Buckets {
+			if svc.Buckets[i].Moving() && svc.Buckets[i].Home == view.Self() {
+				return false
+			}
+		}
+	}
+	for _, h := range d.Members.Hosts() {
+		if h.Entry && h.State == model.Alive && h.Revision < view.Table.Revision {
+			return false
+		}
 	}
+	return true
 }
--- /dev/null
+++ b/internal/daemon/flowviews.go
@@ -0,0 +1,85 @@
+package daemon
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"greengagequay/internal/model"
+	"greengagequay/internal/route"
+	"greengagequay/internal/table"
+)
+
+// viewCache holds the view of the table in force. Readers take no lock unless
+// the table has changed.
+type viewCache struct {
+	d       *Daemon
+	router  *route.Router
+	mu      sync.Mutex // serialises the building of views
+	current atomic.Pointer[cachedView]
+	cut     bool // guarded by mu
+}
+
+type cachedView struct {
+	table *table.Table
+	view  *route.View
+}
+
+func (c *viewCache) init(d *Daemon, r *route.Router) {
+	c.d, c.router = d, r
+	c.rebuild()
+}
+
+// view returns the view of the table in force.
+func (c *viewCache) view() *route.View {
+	v := c.current.Load()
+	if v.table == c.d.Replica.Table() {
+		return v.view
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.current.Load().table != c.d.Replica.Table() {
+		c.rebuild()
+	}
+	return c.current.Load().view
+}
+
+// refresh notes whether the host's lease has run out. Once it is renewed, the
+// records of the time before count.
+func (c *viewCache) refresh(now time.Time) {
+	cut := c.d.leaseOut(now)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cut && !cut {
+		c.router.Heal(route.NewView(c.d.Replica.Table(), c.d.Config.Name, c.router))
+	}
+	if c.cut || cut {
+		c.cut = cut
+		c.rebuild() // also follows the hosts that are reached
+	}
+}
+
+func (c *viewCache) rebuild() {
+	t := c.d.Replica.Table()
+	v := route.NewView(t, c.d.Config.Name, c.router)
+	if c.cut {
+		v = v.CutOff(c.reached())
+	}
+	c.current.Store(&cachedView{table: t, view: v})
+}
+
+// reached returns a function that tells which hosts count as reachable.
+func (c *viewCache) reached() func(table.Host) bool {
+	alive := map[string]bool{}
+	for _, h := range c.d.Members.Hosts() {
+		alive[h.Name] = h.State == model.Alive
+	}
+	return func(h table.Host) bool { return alive[h.Name] }
+}
+
+// leaseOut reports whether no control host has answered this host for longer
+// than its lease. A control host has its lease from itself.
+func (d *Daemon) leaseOut(now time.Time) bool {
+	last := d.lastAnswer.Load()
+	return d.commits == nil && last != 0 && now.Sub(time.UnixMilli(last)) > hostLease
+}
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -19,9 +19,11 @@
 	for ctx.Err() == nil {
 		_ = d.eachControl(ctx, func(ctx context.Context, addr string) error {
 			var hosts []model.Host
+			sent := d.clock.Now()
 			if err := d.client.Call(ctx, addr, "Control.Report", d.self(), &hosts); err != nil {
 				return err
 			}
+			d.lastAnswer.Store(sent.UnixMilli())
 			if d.commits == nil {
 				d.Members.Replace(hosts, d.clock.Now())
 			}
--- a/internal/entry/packets.go
+++ b/internal/entry/packets.go
@@ -2,66 +2,177 @@
 
 import (
 	"net/netip"
-
-	gometrics "github.com/rcrowley/go-metrics"
+	"time"
 
 	"greengagequay/internal/flow"
 	"greengagequay/internal/metrics"
-	"greengagequay/internal/replica"
+	"greengagequay/internal/records"
 	"greengagequay/internal/route"
 )
 
 // maxPacket is the size of the largest IP packet that is carried, in bytes.
 const maxPacket = 65535
 
-// Forwarder routes packets of the fabric.
+// Forwarder routes packets of the fabric and of other entry hosts.
 type Forwarder struct {
-	fabric    Fabric
-	replica   *replica.Replica
-	forwarded gometrics.Counter
-	malformed gometrics.Counter
-	dropped   gometrics.Counter
+	fabric Fabric
+	relay  Fabric // between entry hosts
+	router *route.Router
+	stalls *route.Stalls
+	view   func() *route.View
+	now    func() time.Time
+	epoch  time.Time
+	counts packetCounts
+}
+
+// Options of a forwarder.
+type Options struct {
+	Fabric  Fabric // between fabric and backend servers
+	Relay   Fabric // between entry hosts
+	Router  *route.Router
+	Stalls  *route.Stalls
+	View    func() *route.View // view in force
+	Now     func() time.Time
+	Metrics *metrics.Registry
 }
 
 // NewForwarder returns a forwarder between the fabric and backend servers.
-func NewForwarder(f Fabric, r *replica.Replica, m *metrics.Registry) *Forwarder {
+func NewForwarder(o Options) *Forwarder {
 	return &Forwarder{
-		fabric:    f,
-		replica:   r,
-		forwarded: m.Counter("packets.forwarded"),
-		malformed: m.Counter("packets.malformed"),
-		dropped:   m.Counter("packets.dropped"),
+		fabric: o.Fabric, relay: o.Relay, router: o.Router, stalls: o.Stalls,
+		view: o.View, now: o.Now, epoch: o.Now(), counts: newPacketCounts(o.Metrics),
 	}
 }
 
-// Serve routes packets until the fabric is closed. Several may run at once.
+// Seconds returns the time of records.
+func (f *Forwarder) Seconds() records.Seconds {
+	return records.Seconds(f.now().Sub(f.epoch) / time.Second)
+}
+
+// Serve routes packets of the fabric until it is closed. Several may run at
+// once.
 func (f *Forwarder) Serve() {
-	parser := flow.NewParser()
+	w := &worker{f: f, parser: flow.NewParser()}
 	buf := make([]byte, maxPacket)
 	for {
 		n, from, err := f.fabric.Read(buf)
 		if err != nil {
 			return
 		}
-		f.handle(parser, buf[:n], from)
+		w.fromFabric(buf[:n], from)
 	}
 }
 
-func (f *Forwarder) handle(parser *flow.Parser, data []byte, _ netip.AddrPort) {
-	var p flow.Packet
-	if err := parser.Parse(data, &p); err != nil {
-		f.malformed.Inc(1)
+// ServeRelay routes packets of other entry hosts until the relay is closed.
+func (f *Forwarder) ServeRelay() {
+	w := &worker{f: f, parser: flow.NewParser()}
+	buf := make([]byte, maxPacket)
+	for {
+		n, _, err := f.relay.Read(buf)
+		if err != nil {
+			return
+		}
+		w.fromHost(buf[:n])
+	}
+}
+
+// worker is what one goroutine needs to route packets.
+type worker struct {
+	f      *Forwarder
+	parser *flow.Parser
+	packet flow.Packet
+	out    []byte
+}
+
+func (w *worker) fromFabric(data []byte, from netip.AddrPort) {
+	f := w.f
+	if err := w.parser.Parse(data, &w.packet); err != nil {
+		f.counts.malformed.Inc(1)
+		return
+	}
+	view := f.view()
+	verdict := f.router.Route(f.Seconds(), view, &w.packet)
+	if f.stalls.Seen(f.now(), verdict.Flow, &w.packet) {
+		verdict = route.Verdict{Action: route.Reset, Reason: route.Stalled, Flow: verdict.Flow}
+	}
+	verdict.Header.Source = from
+	w.act(view, verdict, data, from)
+}
+
+func (w *worker) fromHost(data []byte) {
+	f := w.f
+	header, packet, err := route.ParseHeader(data)
+	if err != nil {
+		f.counts.malformed.Inc(1)
 		return
 	}
-	t := f.replica.Table()
-	v := route.Route(t, &p)
-	if v.Action != route.Forward {
-		f.dropped.Inc(1)
+	if header.Stage == route.Confirm {
+		f.router.Confirmed(f.Seconds(), header)
+		return
+	}
+	if err := w.parser.Parse(packet, &w.packet); err != nil {
+		f.counts.malformed.Inc(1)
+		return
+	}
+	view := f.view()
+	w.act(view, f.router.Relayed(f.Seconds(), view, &w.packet, header), packet, header.Source)
+}
+
+// act does what the verdict says.
+func (w *worker) act(view *route.View, v route.Verdict, data []byte, source netip.AddrPort) {
+	switch v.Action {
+	case route.Forward:
+		w.forward(view, v, data, source)
+	case route.Relay:
+		w.f.counts.relayed.Inc(1)
+		w.send(view, v, data)
+	case route.Reset:
+		w.reset(v, source)
+	default:
+		w.f.counts.dropped(v.Reason)
+	}
+}
+
+func (w *worker) forward(view *route.View, v route.Verdict, data []byte, source netip.AddrPort) {
+	backend, ok := view.Destination(v.Backend)
+	if !ok {
+		w.reset(route.Undeliverable(v.Flow), source)
+		return
+	}
+	if err := w.f.fabric.Send(backend.Packet, data); err != nil {
+		w.f.counts.failed.Inc(1)
+		return
+	}
+	w.f.counts.forwarded.Inc(1)
+	if v.Confirm {
+		v.To = v.Header.Home
+		w.send(view, v, nil)
+	}
+}
+
+// send sends a header and the packet to another entry host.
+func (w *worker) send(view *route.View, v route.Verdict, packet []byte) {
+	host, ok := view.Table.Hosts[v.To]
+	if !ok {
+		w.f.counts.dropped(route.NoHome)
+		return
+	}
+	w.out = append(v.Header.Append(w.out[:0]), packet...)
+	if err := w.f.relay.Send(host.Relay, w.out); err != nil {
+		w.f.counts.failed.Inc(1)
+	}
+	w.f.counts.headerBytes.Inc(route.HeaderBytes)
+}
+
+// reset answers the client of a TCP flow with a reset, so that it reconnects.
+func (w *worker) reset(v route.Verdict, source netip.AddrPort) {
+	w.f.counts.reset(v.Reason)
+	if !w.packet.TCP() || w.packet.RST || !source.IsValid() {
 		return
 	}
-	if err := f.fabric.Send(t.Backends[v.Backend].Packet, data); err != nil {
-		f.dropped.Inc(1)
+	answer, err := flow.ResetFor(&w.packet)
+	if err != nil {
 		return
 	}
-	f.forwarded.Inc(1)
+	_ = w.f.fabric.Send(source, answer)
 }
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -33,6 +33,9 @@
 // Opens reports whether the packet opens a flow. Each UDP packet may.
 func (p *Packet) Opens() bool { return p.Proto != protoTCP || p.SYN && !p.ACK }
 
+// TCP reports whether the packet is one of TCP.
+func (p *Packet) TCP() bool { return p.Proto == protoTCP }
+
 const protoTCP = 6
 
 // Hash returns the keyed hash of the flow's addresses and ports.
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -51,6 +51,7 @@
 	Alive   HostState = "alive"
 	Suspect HostState = "suspect" // probes failed, not yet given up
 	Dead    HostState = "dead"    // given up
+	Leaving HostState = "leaving" // shuts down, still works
 	Left    HostState = "left"    // shut down gracefully
 )
 
