Guard processes and API with TLS and tokens

Cause: anyone who reached a host could change settings. Change: internal/access holds certificates that are read again when their files change, and tokens with rights compared in constant time; RPC is mutual TLS, the API takes bearer tokens. A plain address beyond loopback is warned about. Conclusion: off by default, on by naming files.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -13,6 +13,7 @@
 	"github.com/alecthomas/kong"
 
 	"greengagequay/internal/api"
+	"greengagequay/internal/apiclient"
 	"greengagequay/internal/fault"
 )
 
@@ -26,6 +27,8 @@
 // Globals are flags that all commands share.
 type Globals struct {
 	Server  string        `help:"API address of any host, IP:port." default:"127.0.0.1:7300" env:"QUAY_SERVER"`
+	Token   string        `help:"API token." env:"QUAY_TOKEN"`
+	CA      string        `help:"PEM file of the authority that signed the hosts' certificates; uses TLS." name:"ca" env:"QUAY_CA" type:"path"`
 	Output  string        `help:"Output format." enum:"table,json" default:"table" short:"o"`
 	Timeout time.Duration `help:"Longest time a call may take." default:"10s"`
 }
@@ -84,9 +87,9 @@
 
 // client returns a client of the API and a context bounded in time.
 func (e *env) client() (*api.Client, context.Context, context.CancelFunc, error) {
-	client, err := api.NewClient("http://" + e.Server)
+	client, err := apiclient.New(apiclient.Options{Server: e.Server, Token: e.Token, CA: e.CA})
 	if err != nil {
-		return nil, nil, nil, fault.New(fault.Invalid, "use --server IP:port", "server %q: %w", e.Server, err)
+		return nil, nil, nil, err
 	}
 	ctx, cancel := context.WithTimeout(e.ctx, e.Timeout)
 	return client, ctx, cancel, nil
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -14,6 +14,7 @@
 
 	"github.com/tailscale/hujson"
 
+	"greengagequay/internal/access"
 	"greengagequay/internal/fault"
 )
 
@@ -41,6 +42,8 @@
 	Listeners map[string]string `json:"listeners"` // TCP IP:port for plain connections, by service
 	Control   []Peer            `json:"control"`   // the control hosts
 	Seeds     []string          `json:"seeds"`     // gossip addresses of hosts to join through
+	TLS       access.Files      `json:"tls"`       // certificates for RPC (mutual) and API; empty is plain
+	Tokens    string            `json:"tokens"`    // file of API tokens; empty lets everyone in
 	Log       Log               `json:"log"`
 }
 
@@ -112,6 +115,7 @@
 	if c.Has(Control) && c.Data == "" {
 		ck.add("data", "", "name a folder on a disk; a control host needs one")
 	}
+	ck.tls(c.TLS)
 	ck.oneOf("log.level", c.Log.Level, "debug", "info", "warn", "error")
 	ck.oneOf("log.format", c.Log.Format, "text", "json")
 	return errors.Join(ck.errs...)
@@ -139,6 +143,33 @@
 	}
 }
 
+func (ck *checker) tls(f access.Files) {
+	if f.Empty() {
+		return
+	}
+	for _, file := range []struct{ field, name string }{
+		{"tls.certificate", f.Certificate},
+		{"tls.key", f.Key},
+		{"tls.authority", f.Authority},
+	} {
+		if file.name == "" {
+			ck.add(file.field, "", "name a PEM file, or leave all of tls out")
+		}
+	}
+}
+
+// Exposed returns the addresses of RPC and API that other machines can reach.
+func (c Config) Exposed() []string {
+	var exposed []string
+	for _, text := range []string{c.RPC, c.API} {
+		addr, err := netip.ParseAddrPort(text)
+		if err == nil && !addr.Addr().IsLoopback() {
+			exposed = append(exposed, text)
+		}
+	}
+	return exposed
+}
+
 func (ck *checker) roles(roles []Role) {
 	if len(roles) == 0 {
 		ck.add("roles", "", `use ["entry"], ["control"] or both`)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"greengagequay/internal/access"
 	"greengagequay/internal/api"
 	"greengagequay/internal/apiserver"
 	"greengagequay/internal/clock"
@@ -24,6 +25,7 @@
 	"greengagequay/internal/model"
 	"greengagequay/internal/registry"
 	"greengagequay/internal/replica"
+	"greengagequay/internal/request"
 	"greengagequay/internal/rpc"
 )
 
@@ -41,6 +43,7 @@
 	incarnation  uint64
 	controlBytes atomic.Int64
 	freshness    follow.Freshness
+	tokens       *access.Tokens // nil lets everyone in
 	registry     *registry.Registry
 	server       *rpc.Server
 	client       *rpc.Client
@@ -70,8 +73,10 @@
 		incarnation: uint64(c.Now().UnixMicro()),
 		registry:    registry.New(),
 	}
-	d.client = rpc.NewClient(&d.controlBytes)
-	d.server = rpc.NewServer(b.rpc, &d.controlBytes)
+	if err := d.secure(); err != nil {
+		b.Close()
+		return nil, err
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
 	if err := d.start(ctx); err != nil {
@@ -128,7 +133,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", d.Metrics)
 	mux.Handle("/", server)
-	d.api = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	d.api = &http.Server{Handler: d.tokens.Guard(mux, request.WriteError), ReadHeaderTimeout: headerTimeout}
 	d.run(func() { d.serveHTTP(d.api, d.bound.api) })
 	return nil
 }
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -92,13 +93,15 @@
 // Client calls peers by their address. It is safe for concurrent use.
 type Client struct {
 	bytes *atomic.Int64
+	tls   func(host string) *tls.Config
 	mu    sync.Mutex
 	peers map[string]*rpc.Client
 }
 
-// NewClient returns a client that adds the bytes it moves to bytes.
-func NewClient(bytes *atomic.Int64) *Client {
-	return &Client{bytes: bytes, peers: map[string]*rpc.Client{}}
+// NewClient returns a client that adds the bytes it moves to bytes. tlsFor
+// returns the TLS settings of a connection to a host; nil is plain.
+func NewClient(bytes *atomic.Int64, tlsFor func(host string) *tls.Config) *Client {
+	return &Client{bytes: bytes, tls: tlsFor, peers: map[string]*rpc.Client{}}
 }
 
 // Call calls a method of the peer at addr. A call that cannot be delivered
@@ -136,8 +139,7 @@
 	if peer != nil {
 		return peer, nil
 	}
-	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", addr)
+	conn, err := c.dial(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
@@ -152,6 +154,19 @@
 	return fresh, nil
 }
 
+func (c *Client) dial(ctx context.Context, addr string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	if c.tls == nil {
+		return dialer.DialContext(ctx, "tcp", addr)
+	}
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return nil, err
+	}
+	secure := tls.Dialer{NetDialer: &dialer, Config: c.tls(host)}
+	return secure.DialContext(ctx, "tcp", addr)
+}
+
 func (c *Client) drop(addr string, peer *rpc.Client) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
