Add diff and export of settings, and show what changed on a conflict

Cause: an operator whose change was refused as stale was not shown what had changed, and a file of settings could not be compared or written. Change: the API's conflict error carries the changes since the base; quayctl settings diff and export, which keeps the comments of an older file. Conclusion: apply, diff and export work on one file format.

--- a/internal/apiserver/apiserver.go
+++ b/internal/apiserver/apiserver.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"time"
 
@@ -42,12 +43,29 @@
 // NewError turns an error into its answer.
 func (s *Server) NewError(_ context.Context, err error) *api.ErrorStatusCode {
 	e := fault.From(err)
-	return &api.ErrorStatusCode{
-		StatusCode: request.StatusOf(e.Kind),
-		Response:   api.Error{Kind: string(e.Kind), Message: e.Message, Remedy: e.Remedy},
+	answer := api.Error{Kind: string(e.Kind), Message: e.Message, Remedy: e.Remedy}
+	var conflict *conflictError
+	if errors.As(err, &conflict) {
+		for _, c := range conflict.changed {
+			answer.Changed = append(answer.Changed, changeOf(c))
+		}
 	}
+	return &api.ErrorStatusCode{StatusCode: request.StatusOf(e.Kind), Response: answer}
+}
+
+// conflictError tells an operator what changed since the revision that the
+// refused change was based on.
+type conflictError struct {
+	cause   *fault.Error
+	changed []state.Change
 }
 
+// Error returns the text of the typed error.
+func (e *conflictError) Error() string { return e.cause.Error() }
+
+// Unwrap returns the typed error.
+func (e *conflictError) Unwrap() error { return e.cause }
+
 // GetSettings returns the effective settings of a node.
 func (s *Server) GetSettings(_ context.Context, p api.GetSettingsParams) (*api.SettingList, error) {
 	path, err := settings.CleanPath(p.Path)
@@ -122,7 +140,7 @@
 		result, err = s.Submit.Submit(ctx, change)
 	}
 	if err == nil && result.Err != nil {
-		err = result.Err
+		err = &conflictError{cause: result.Err, changed: result.Changed}
 	}
 	return result, err
 }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -80,6 +80,11 @@
 func printError(w io.Writer, err error) {
 	f := fault.From(explain(err))
 	fmt.Fprintf(w, "quayctl: %s\n", f.Message)
+	for _, c := range changedSince(err) {
+		for _, op := range c.Ops {
+			fmt.Fprintf(w, "changed at revision %d by %s: %s %s %s %s\n", c.Revision, c.Author, op.Action, op.Path, op.Key, op.Value.Value)
+		}
+	}
 	if f.Remedy != "" {
 		fmt.Fprintf(w, "remedy: %s\n", f.Remedy)
 	}
--- a/internal/cli/errors.go
+++ b/internal/cli/errors.go
@@ -21,3 +21,12 @@
 	}
 	return err
 }
+
+// changedSince returns the changes that a conflict reports.
+func changedSince(err error) []api.Change {
+	var status *api.ErrorStatusCode
+	if errors.As(err, &status) {
+		return status.Response.Changed
+	}
+	return nil
+}
--- a/internal/cli/settings.go
+++ b/internal/cli/settings.go
@@ -3,14 +3,10 @@
 import (
 	"crypto/rand"
 	"encoding/json"
-	"os"
 	"os/user"
 	"time"
 
-	"github.com/tailscale/hujson"
-
 	"greengagequay/internal/api"
-	"greengagequay/internal/fault"
 	"greengagequay/internal/settings"
 )
 
@@ -21,6 +17,8 @@
 	Explain explainCmd `cmd:"" help:"Show where a value comes from."`
 	History historyCmd `cmd:"" help:"List accepted changes."`
 	Apply   applyCmd   `cmd:"" help:"Apply a file of settings: JSON with comments, {path: {key: value}}."`
+	Diff    diffCmd    `cmd:"" help:"Show how a file of settings differs from what is set."`
+	Export  exportCmd  `cmd:"" help:"Write what is set as a file for apply; an older file keeps its comments."`
 	Keys    keysCmd    `cmd:"" help:"List all keys."`
 }
 
@@ -166,46 +164,6 @@
 	return e.print(list, "REVISION\tTIME\tAUTHOR\tID\tACTION\tPATH\tKEY\tVALUE", rows)
 }
 
-type applyCmd struct {
-	changeFlags
-	File string `arg:"" help:"File of settings." type:"existingfile"`
-}
-
-func (c *applyCmd) Run(e *env) error {
-	data, err := os.ReadFile(c.File)
-	if err != nil {
-		return fault.New(fault.Invalid, "check the file", "read settings: %w", err)
-	}
-	ops, err := parseTree(data)
-	if err != nil {
-		return err
-	}
-	return c.submit(e, ops)
-}
-
-// parseTree parses {path: {key: value}}. The value null unsets a key.
-func parseTree(data []byte) ([]api.Op, error) {
-	plain, err := hujson.Standardize(data)
-	if err != nil {
-		return nil, fault.New(fault.Invalid, "mend the JSON at that place", "parse settings: %w", err)
-	}
-	var tree map[string]map[string]json.RawMessage
-	if err := json.Unmarshal(plain, &tree); err != nil {
-		return nil, fault.New(fault.Invalid, `write {"/service": {"key": value}}`, "parse settings: %w", err)
-	}
-	var ops []api.Op
-	for path, values := range tree {
-		for key, value := range values {
-			if string(value) == "null" {
-				ops = append(ops, opOf(api.OpActionUnset, path, key, ""))
-				continue
-			}
-			ops = append(ops, opOf(api.OpActionSet, path, key, string(value)))
-		}
-	}
-	return ops, nil
-}
-
 type keysCmd struct{}
 
 func (c *keysCmd) Run(e *env) error {
