Let the demo open flows after a drain, use plain connections and repeat keys

Cause: the demo did not show new flows to a draining backend server, plain connections or requests that may run once. Change: more steps and invariants; control traffic is measured over 3 s of rest; the imbalance counts backend servers that take new flows.

--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -34,13 +34,17 @@
 		{"flows opened", r.FlowsOpened},
 		{"flows broken", r.FlowsBroken},
 		{"packets misdelivered", r.PacketsMisdelivered},
+		{"new flows to a draining backend server", r.FlowsToDraining},
+		{"plain connections opened", r.StreamsOpened},
+		{"plain connections broken", r.StreamsBroken},
 		{"requests answered", r.Answered},
 		{"requests refused as not run", r.NotRun},
 		{"requests with outcome unknown", r.OutcomeUnknown},
 		{"requests failed", r.RequestsFailed},
+		{"keys run more than once", r.KeysRunTwice},
 		{"imbalance max/mean", fmt.Sprintf("%.3f", r.Imbalance)},
 		{"seconds until in force", fmt.Sprintf("%.3f", r.InForceSeconds)},
-		{"control bytes per host per second", fmt.Sprintf("%.0f", r.ControlBytesPerHostS)},
+		{"control bytes per host per second at rest", fmt.Sprintf("%.0f", r.ControlBytesPerHostS)},
 	})
 	if err != nil {
 		return err
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -36,7 +35,11 @@
 	RequestsFailed       int     `json:"requestsFailed"`
 	Imbalance            float64 `json:"imbalanceMaxOverMean"`
 	InForceSeconds       float64 `json:"secondsUntilInForce"`
-	ControlBytesPerHostS float64 `json:"controlBytesPerHostPerSecond"`
+	ControlBytesPerHostS float64 `json:"controlBytesPerHostPerSecond"` // at rest
+	FlowsToDraining      int     `json:"newFlowsToDraining"`
+	StreamsOpened        int     `json:"connectionsOpened"`
+	StreamsBroken        int     `json:"connectionsBroken"`
+	KeysRunTwice         int     `json:"keysRunTwice"`
 }
 
 // Err returns an error that names the first invariant that did not hold.
@@ -48,6 +51,12 @@
 		return fault.New(fault.Internal, "report a defect with the seed", "%d flows broke in planned changes", r.FlowsBroken)
 	case r.PacketsMisdelivered > 0:
 		return fault.New(fault.Internal, "report a defect with the seed", "%d packets reached another service", r.PacketsMisdelivered)
+	case r.FlowsToDraining > 0:
+		return fault.New(fault.Internal, "report a defect with the seed", "%d new flows reached a draining backend server", r.FlowsToDraining)
+	case r.StreamsBroken > 0:
+		return fault.New(fault.Internal, "report a defect with the seed", "%d plain connections broke", r.StreamsBroken)
+	case r.KeysRunTwice > 0:
+		return fault.New(fault.Internal, "report a defect with the seed", "%d requests that may run once ran again", r.KeysRunTwice)
 	case r.RequestsFailed > 0:
 		return fault.New(fault.Internal, "report a defect with the seed", "%d requests failed", r.RequestsFailed)
 	}
@@ -59,8 +68,8 @@
 	Options
 	fleet   *fleet
 	callers *callers
+	streams []*stream
 	report  Report
-	started time.Time
 }
 
 // Run runs the demonstration.
@@ -75,7 +84,7 @@
 		return Report{}, err
 	}
 	defer f.close(context.WithoutCancel(ctx))
-	r := &run{Options: o, fleet: f, callers: c, started: time.Now()}
+	r := &run{Options: o, fleet: f, callers: c}
 	c.entry = func(i int) netip.AddrPort {
 		addr, _ := netip.ParseAddrPort(f.host(i).Config.Packets)
 		return addr
@@ -95,12 +104,17 @@
 	}{
 		{"create services", r.createServices},
 		{"open flows", r.openFlows},
+		{"open plain connections", r.openStreams},
 		{"send requests", r.sendRequests},
 		{"drain a backend server", r.drain},
+		{"open more flows", r.openMoreFlows},
 		{"restart an entry host", func(ctx context.Context) error { return r.fleet.restart(ctx, 3) }},
 		{"use all flows", r.useFlows},
+		{"use all plain connections", r.useStreams},
+		{"repeat requests that may run once", r.repeatKeys},
 		{"send requests", r.sendRequests},
 		{"change a setting", r.changeSetting},
+		{"rest", r.rest},
 	}
 	for i, step := range steps {
 		if r.Progress != nil {
@@ -215,21 +229,32 @@
 	for i := range r.Requests {
 		svc := serviceSpecs[i%len(serviceSpecs)]
 		host := r.fleet.host(i % len(hostSpecs))
-		if err := r.sendRequest(ctx, svc.name, host.Config.Requests, i); err != nil {
+		if err := r.sendRequest(ctx, sent{service: svc.name, addr: host.Config.Requests, size: i}); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (r *run) sendRequest(ctx context.Context, service, addr string, i int) error {
-	body := strings.Repeat("o", i)
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/order", strings.NewReader(body))
+// sent describes a request that is sent.
+type sent struct {
+	service string
+	addr    string // of the entry host
+	size    int    // of the body, in bytes
+	key     string // empty for a request that may be repeated
+}
+
+func (r *run) sendRequest(ctx context.Context, s sent) error {
+	body := strings.NewReader(strings.Repeat("o", s.size))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.addr+"/order", body)
 	if err != nil {
 		return err
 	}
-	req.Header.Set(request.HeaderService, service)
+	req.Header.Set(request.HeaderService, s.service)
 	req.Header.Set(request.HeaderCustomer, "bakery")
+	if s.key != "" {
+		req.Header.Set(request.HeaderKey, s.key)
+	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		r.report.RequestsFailed++
@@ -237,9 +262,9 @@
 	}
 	defer resp.Body.Close()
 	answer, err := io.ReadAll(resp.Body)
-	want := fmt.Sprintf("%s /order %d\n", service, i)
+	want := fmt.Sprintf("%s /order %d\n", s.service, s.size)
 	switch outcome := resp.Header.Get(request.HeaderOutcome); {
-	case err != nil && !errors.Is(err, context.Canceled), outcome == request.Answered && string(answer) != want:
+	case err != nil, outcome == request.Answered && string(answer) != want:
 		r.report.RequestsFailed++
 	case outcome == request.Answered:
 		r.report.Answered++
@@ -253,20 +278,35 @@
 
 func (r *run) measure() {
 	r.report.FlowsOpened, r.report.FlowsBroken = r.callers.counts()
-	total, most, n := 0, 0, 0
 	for _, b := range r.fleet.backends {
-		c := b.Packets.Counts()
-		r.report.PacketsMisdelivered += c.Misdelivered
+		r.report.PacketsMisdelivered += b.Packets.Counts().Misdelivered
+	}
+	for _, st := range r.streams {
+		r.report.StreamsOpened++
+		if st.broken {
+			r.report.StreamsBroken++
+		}
+		_ = st.conn.Close()
+	}
+	r.report.Imbalance = r.imbalance()
+	r.report.KeysRunTwice = r.keysRunTwice()
+}
+
+// imbalance returns the most open flows of a backend server that takes new
+// ones, divided by the mean, for the first service.
+func (r *run) imbalance() float64 {
+	total, most, n := 0, 0, 0
+	for _, b := range r.fleet.backends[1:] { // the first one drains
 		if b.Service != serviceSpecs[0].name {
 			continue
 		}
-		total += c.Open
-		most = max(most, c.Open)
+		open := b.Packets.Counts().Open
+		total += open
+		most = max(most, open)
 		n++
 	}
-	if total > 0 {
-		r.report.Imbalance = float64(most) * float64(n) / float64(total)
+	if total == 0 {
+		return 0
 	}
-	seconds := time.Since(r.started).Seconds()
-	r.report.ControlBytesPerHostS = float64(r.fleet.controlBytes()) / seconds / float64(len(hostSpecs))
+	return float64(most) * float64(n) / float64(total)
 }
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -100,6 +100,7 @@
 		Name: spec.name, Zone: spec.zone, Roles: []config.Role{config.Entry},
 		RPC: loopback, API: loopback, Gossip: loopback,
 		Packets: loopback, Relay: loopback, Requests: loopback,
+		Listeners: map[string]string{serviceSpecs[0].name: loopback},
 		Log: config.Log{Level: "warn", Format: "text"},
 	}
 	if spec.control {
--- /dev/null
+++ b/internal/demo/steps.go
@@ -0,0 +1,121 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"time"
+)
+
+// restTime is how long the system is left alone to measure its traffic.
+const restTime = 3 * time.Second
+
+// drainGrace is the time after which a draining backend server must get no
+// new flow.
+const drainGrace = 3 * time.Second
+
+// Numbers of plain connections and of requests with a key.
+const (
+	plainConnections = 20
+	keyedRequests    = 20
+)
+
+// stream is one plain connection.
+type stream struct {
+	conn   net.Conn
+	broken bool
+}
+
+// openStreams opens plain connections to the first service, on the hosts that
+// are not restarted, since such a connection is pinned to its host.
+func (r *run) openStreams(ctx context.Context) error {
+	var dialer net.Dialer
+	for i := range plainConnections {
+		host := r.fleet.host(i % (len(hostSpecs) - 1))
+		conn, err := dialer.DialContext(ctx, "tcp", host.Config.Listeners[serviceSpecs[0].name])
+		if err != nil {
+			return fmt.Errorf("open connection: %w", err)
+		}
+		r.streams = append(r.streams, &stream{conn: conn})
+	}
+	return r.useStreams(ctx)
+}
+
+// useStreams sends a line on each plain connection and expects it back.
+func (r *run) useStreams(ctx context.Context) error {
+	deadline, _ := ctx.Deadline()
+	line := []byte("board\n")
+	for _, st := range r.streams {
+		_ = st.conn.SetDeadline(deadline)
+		answer := make([]byte, len(line))
+		_, sendErr := st.conn.Write(line)
+		_, readErr := io.ReadFull(st.conn, answer)
+		if sendErr != nil || readErr != nil || string(answer) != string(line) {
+			st.broken = true
+		}
+	}
+	return nil
+}
+
+// openMoreFlows opens flows after a backend server has drained for a while,
+// and counts those that reach it all the same.
+func (r *run) openMoreFlows(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(drainGrace):
+	}
+	drained := r.fleet.backends[0].Packets
+	before := drained.Counts().Opened
+	r.callers.open(0, r.Flows/2)
+	if err := r.waitFor(ctx, r.callers.quiet); err != nil {
+		return err
+	}
+	r.report.FlowsToDraining = drained.Counts().Opened - before
+	return nil
+}
+
+// repeatKeys sends each request with a key through two hosts.
+func (r *run) repeatKeys(ctx context.Context) error {
+	for i := range keyedRequests {
+		key := fmt.Sprintf("order-%d", i)
+		for attempt := range 2 {
+			host := r.fleet.host((i + attempt) % len(hostSpecs))
+			if err := r.sendRequest(ctx, sent{service: serviceSpecs[0].name, addr: host.Config.Requests, size: i, key: key}); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (r *run) keysRunTwice() int {
+	runs := map[string]int{}
+	for _, b := range r.fleet.backends {
+		byKey, _ := b.HTTP.Runs()
+		for key, n := range byKey {
+			runs[key] += n
+		}
+	}
+	twice := 0
+	for _, n := range runs {
+		if n > 1 {
+			twice++
+		}
+	}
+	return twice
+}
+
+// rest measures the control traffic of a system that nobody disturbs.
+func (r *run) rest(ctx context.Context) error {
+	before := r.fleet.controlBytes()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(restTime):
+	}
+	bytes := float64(r.fleet.controlBytes() - before)
+	r.report.ControlBytesPerHostS = bytes / restTime.Seconds() / float64(len(hostSpecs))
+	return nil
+}
--- a/internal/standin/packets.go
+++ b/internal/standin/packets.go
@@ -17,6 +17,7 @@
 // PacketCounts is what a stand-in saw of packets.
 type PacketCounts struct {
 	Open         int // flows that are open
+	Opened       int // flows that were opened, without packets sent again
 	Packets      int
 	Misdelivered int // packets of another service
 	Unknown      int // packets of flows that were never opened here
@@ -69,6 +70,9 @@
 		delete(s.flows, key)
 		return nil
 	case p.Opens():
+		if !known {
+			s.counts.Opened++
+		}
 		s.flows[key] = struct{}{}
 	case !known:
 		s.counts.Unknown++
