Build a table from the parts that changed

Cause: each revision cloned the whole placement for the data path: 9.0 ms and 22 MB at 1,800 services of 256 buckets, for a change of one bucket.

Change: Table shares with the one before every map and every service whose buckets are the same; the placement copies what it changes.

Conclusion: the cost now follows the number of services, not of buckets.

--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -54,6 +54,7 @@
 	Placement        *table.Placement
 	history          []Change // oldest first
 	answers          map[string]uint64
+	view             view
 }
 
 // New returns the empty state at revision 0.
@@ -196,52 +197,10 @@
 	s.Revision, s.SettingsRevision, s.Seed = snap.Revision, snap.SettingsRevision, snap.Seed
 	s.Tree = settings.Import(snap.Settings)
 	if snap.Placement != nil {
-		s.Placement = snap.Placement.Clone()
+		s.Placement = snap.Placement.Clone() // no part of it is nil
 	}
 	for _, c := range snap.History {
 		s.remember(c)
 	}
 	return s, nil
 }
-
-// Table builds the data path's view of the state.
-func (s *State) Table() *table.Table {
-	t := &table.Table{
-		Revision:  s.Revision,
-		Seed:      s.Seed,
-		ByAddress: map[table.Endpoint]*table.Service{},
-		ByName:    map[string]*table.Service{},
-	}
-	p := s.Placement.Clone()
-	t.Backends, t.Hosts = p.Backends, p.Hosts
-	for _, name := range s.Tree.Services() {
-		buckets := p.Buckets[name]
-		if len(buckets) == 0 {
-			buckets = make([]table.Bucket, s.Tree.Int(settings.Path(name), settings.FlowBuckets))
-		}
-		svc := &table.Service{Name: name, Mask: uint64(len(buckets) - 1), Buckets: buckets}
-		t.ByName[name] = svc
-		for _, text := range s.Tree.TextList(settings.Path(name), settings.ServiceAddresses) {
-			addr, err := settings.ParseAddress(text)
-			if err != nil {
-				continue // refused when the change was checked
-			}
-			t.ByAddress[endpoint(addr)] = svc
-		}
-	}
-	return t
-}
-
-func endpoint(a settings.Address) table.Endpoint {
-	proto := uint8(protoTCP)
-	if a.UDP {
-		proto = protoUDP
-	}
-	return table.Endpoint{Addr: a.AddrPort.Addr().Unmap(), Port: a.AddrPort.Port(), Proto: proto}
-}
-
-// IP protocol numbers.
-const (
-	protoTCP = 6
-	protoUDP = 17
-)
