--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"greengagequay/internal/access"
 	"greengagequay/internal/api"
 	"greengagequay/internal/apiserver"
 	"greengagequay/internal/clock"
@@ -24,6 +25,7 @@
 	"greengagequay/internal/model"
 	"greengagequay/internal/registry"
 	"greengagequay/internal/replica"
+	"greengagequay/internal/request"
 	"greengagequay/internal/rpc"
 )
 
@@ -41,6 +43,7 @@
 	incarnation  uint64
 	controlBytes atomic.Int64
 	freshness    follow.Freshness
+	tokens       *access.Tokens // nil lets everyone in
 	registry     *registry.Registry
 	server       *rpc.Server
 	client       *rpc.Client
@@ -48,6 +51,9 @@
 	api          *http.Server
 	requests     *http.Server
 	streams      []*entry.Stream
+	flows        *flows       // nil unless an entry host
+	leaving      atomic.Bool  // set once the host has begun to shut down
+	lastAnswer   atomic.Int64 // when the last answered report was sent, Unix milliseconds
 	cancel       context.CancelFunc
 	background   sync.WaitGroup
 }
@@ -70,8 +76,10 @@
 		incarnation: uint64(c.Now().UnixMicro()),
 		registry:    registry.New(),
 	}
-	d.client = rpc.NewClient(&d.controlBytes)
-	d.server = rpc.NewServer(b.rpc, &d.controlBytes)
+	if err := d.secure(); err != nil {
+		b.Close()
+		return nil, err
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
 	if err := d.start(ctx); err != nil {
@@ -98,7 +106,9 @@
 	}
 	d.startMembers(ctx)
 	if d.Config.Has(config.Entry) {
-		d.startFlows(ctx)
+		if err := d.startFlows(ctx); err != nil {
+			return err
+		}
 		d.startRequests(ctx)
 		d.startStreams()
 	}
@@ -128,7 +138,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", d.Metrics)
 	mux.Handle("/", server)
-	d.api = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	d.api = &http.Server{Handler: d.tokens.Guard(mux, request.WriteError), ReadHeaderTimeout: headerTimeout}
 	d.run(func() { d.serveHTTP(d.api, d.bound.api) })
 	return nil
 }
@@ -154,6 +164,7 @@
 		errs = append(errs, d.requests.Shutdown(ctx))
 	}
 	d.waitStreams(ctx)
+	d.leaveFlows(ctx)
 	errs = append(errs, d.api.Shutdown(ctx))
 	d.Kill()
 	return errors.Join(errs...)
@@ -178,6 +189,10 @@
 // self describes this host to the others.
 func (d *Daemon) self() model.Host {
 	relay, _ := netip.ParseAddrPort(d.Config.Relay)
+	hostState := model.Alive
+	if d.leaving.Load() {
+		hostState = model.Leaving
+	}
 	return model.Host{
 		Name:        d.Config.Name,
 		Zone:        d.Config.Zone,
@@ -187,7 +202,7 @@
 		RPC:         d.Config.RPC,
 		Gossip:      d.Config.Gossip,
 		Relay:       relay,
-		State:       model.Alive,
+		State:       hostState,
 		Revision:    d.Replica.Revision(),
 	}
 }
