Move buckets in phases, with homes, backups and bounded moves

Cause: the placement jumped: a bucket changed its backend server at once on whichever host had the newer table, drains broke flows, nothing bounded moves.

Change: place.Planner computes deltas from the members, the revisions that entry hosts acknowledge, the reports of homes and the time. A bucket goes from Prepare to Move once every host that may forward has acknowledged it, to Settle and Stable once its home is done. Homes and backups are spread over hosts and zones; a home that lost its records is followed by a synced backup. Weights are apportioned exactly, with ramps, and corrected by counted flows; claimed load can take away a tenth at most. A zone of which no host is heard keeps its flows. Entry hosts report statuses and counts of open flows to the leading control host, which shows what it does in the metrics placement.*.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -45,6 +45,7 @@
 	freshness    follow.Freshness
 	tokens       *access.Tokens // nil lets everyone in
 	registry     *registry.Registry
+	reports      flowReports
 	server       *rpc.Server
 	client       *rpc.Client
 	commits      *control.FileLog // nil unless a control host
@@ -109,6 +110,7 @@
 		if err := d.startFlows(ctx); err != nil {
 			return err
 		}
+		d.run(func() { d.reportFlows(ctx) })
 		d.startRequests(ctx)
 		d.startStreams()
 	}
--- a/internal/entry/packets.go
+++ b/internal/entry/packets.go
@@ -23,6 +23,7 @@
 	now    func() time.Time
 	epoch  time.Time
 	counts packetCounts
+	open   openFlows
 }
 
 // Options of a forwarder.
@@ -144,6 +145,7 @@
 		return
 	}
 	w.f.counts.forwarded.Inc(1)
+	w.f.open.note(v.Backend, &w.packet)
 	if v.Confirm {
 		v.To = v.Header.Home
 		w.send(view, v, nil)
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -1,155 +1,100 @@
 // Package place computes the placement of buckets on backend servers. It is
-// pure: the present placement and the wanted members in, a delta out.
+// pure: the present placement, the members, what entry hosts report and the
+// time go in, a delta comes out. The same inputs give the same deltas.
 package place
 
 import (
-	"cmp"
-	"maps"
-	"slices"
+	"time"
 
 	"greengagequay/internal/model"
+	"greengagequay/internal/records"
 	"greengagequay/internal/settings"
 	"greengagequay/internal/table"
 )
 
-// Input is what a placement is computed from.
-type Input struct {
-	Tree     settings.Tree
-	Current  *table.Placement
-	Hosts    []model.Host    // entry hosts that are alive
-	Backends []model.Backend // announced backend servers
-}
+// Times of the planner.
+const (
+	// HostLease is the time after which a host that hears nothing from the
+	// control hosts stops to forward by its table alone.
+	HostLease = 2 * time.Second
+	// warmUp is how long a new planner waits to hear from a host or backend
+	// server that is in the placement before it counts it as gone.
+	warmUp = 10 * time.Second
+	// firstWait is how long the planner gathers the first backend servers of
+	// a service before it places the service's buckets.
+	firstWait = time.Second
+	// goneHold is how long a lost backend server stays a candidate, so that
+	// its flows are reset.
+	goneHold = 2 * time.Minute
+	// silentHold is how long a silent host stays in the placement.
+	silentHold = 10 * time.Minute
+)
 
-// Next returns the delta that brings the placement to its next step.
-func Next(in Input) table.Delta {
-	d := table.Delta{Base: in.Current.Revision, NextNum: in.Current.NextNum}
-	diffHosts(&d, in)
-	diffBackends(&d, in)
-	next := in.Current.Clone()
-	next.Apply(d, d.Base)
-	for _, service := range in.Tree.Services() {
-		placeService(&d, next, service, in.Tree.Int(settings.Path(service), settings.FlowBuckets))
-	}
-	for _, service := range slices.Sorted(maps.Keys(next.Buckets)) {
-		if !slices.Contains(in.Tree.Services(), service) {
-			d.RemoveServices = append(d.RemoveServices, service)
-		}
-	}
-	return d
-}
+// maxUpdates bounds the bucket updates of one delta. The rest follows in the
+// next one.
+const maxUpdates = 4096
 
-func diffHosts(d *table.Delta, in Input) {
-	byName := map[string]table.Host{}
-	for _, h := range in.Current.Hosts {
-		byName[h.Name] = h
-	}
-	for _, h := range in.Hosts {
-		want := table.Host{Name: h.Name, Zone: h.Zone, RPC: h.RPC, Relay: h.Relay, Incarnation: h.Incarnation}
-		old, known := byName[h.Name]
-		delete(byName, h.Name)
-		want.Num = old.Num
-		if !known {
-			want.Num = table.HostNum(d.NextNum)
-			d.NextNum++
-		}
-		if want != old {
-			d.SetHosts = append(d.SetHosts, want)
-		}
-	}
-	for _, h := range byName {
-		d.RemoveHosts = append(d.RemoveHosts, h.Num)
-	}
-	slices.Sort(d.RemoveHosts)
+// Host is an entry host as the controller knows it.
+type Host struct {
+	model.Host
+	// LeaseOut is true once the host has been silent for HostLease. It then
+	// no longer forwards by an old table.
+	LeaseOut bool
+	// Leaving is true while the host hands its records over.
+	Leaving bool
 }
 
-func diffBackends(d *table.Delta, in Input) {
-	byID := map[string]table.Backend{}
-	for _, b := range in.Current.Backends {
-		byID[b.ID] = b
-	}
-	for _, b := range in.Backends {
-		want := fromModel(b)
-		old, known := byID[b.ID]
-		delete(byID, b.ID)
-		want.Num = old.Num
-		if !known {
-			want.Num = table.BackendNum(d.NextNum)
-			d.NextNum++
-		}
-		if want != old {
-			d.SetBackends = append(d.SetBackends, want)
-		}
-	}
-	for _, b := range byID {
-		d.RemoveBackends = append(d.RemoveBackends, b.Num)
-	}
-	slices.Sort(d.RemoveBackends)
-}
-
-func fromModel(b model.Backend) table.Backend {
-	return table.Backend{
-		ID: b.ID, Service: b.Service, Zone: b.Zone, State: b.State,
-		Packet: b.Packet, Request: b.Request, Stream: b.Stream,
-		Slots: b.Slots, Weight: b.Weight, Incarnation: b.Incarnation,
-	}
+// Input is what a placement is computed from.
+type Input struct {
+	Now          time.Time
+	Tree         settings.Tree
+	TreeRevision uint64 // rises with each change of Tree
+	Current      *table.Placement
+	Hosts        []Host                 // entry hosts, in the order of their names
+	Backends     []model.Backend        // announced backend servers, in the order of their IDs
+	Statuses     []records.BucketStatus // as the homes of moving buckets reported
+	// Flows is the number of open flows that entry hosts counted for each
+	// backend server.
+	Flows map[table.BackendNum]float64
 }
 
-// placeService spreads the buckets evenly over the ready backend servers and
-// keeps each bucket where it is as far as that allows.
-func placeService(d *table.Delta, p *table.Placement, service string, count int) {
-	ready := readyBackends(p, service)
-	buckets := p.Buckets[service]
-	if len(buckets) != count {
-		buckets = make([]table.Bucket, count)
-	}
-	quota := apportion(count, ready)
-	var homeless []int
-	for i, b := range buckets {
-		if quota[b.Oldest()] > 0 {
-			quota[b.Oldest()]--
-			continue
-		}
-		homeless = append(homeless, i)
-	}
-	for _, i := range homeless {
-		update := table.BucketUpdate{Service: service, Index: i, Count: count}
-		if num, ok := takeQuota(quota, ready); ok {
-			update.Bucket = table.StableAt(num)
-		}
-		if buckets[i].Oldest() != 0 || update.Bucket.Oldest() != 0 {
-			d.SetBuckets = append(d.SetBuckets, update)
-		}
-	}
+// Planner computes deltas. What it remembers between two calls is soft: a new
+// planner that takes over goes on from the placement. It is not safe for
+// concurrent use.
+type Planner struct {
+	started  time.Time
+	gone     map[table.BackendNum]time.Time // first seen gone
+	silent   map[table.HostNum]time.Time    // first seen silent
+	first    map[string]time.Time           // first usable backend server of a service without buckets
+	limits   map[string]*limit
+	balances map[string]*balance
+	config   configCache
 }
 
-func readyBackends(p *table.Placement, service string) []table.BackendNum {
-	var nums []table.BackendNum
-	for _, b := range p.Backends {
-		if b.Service == service && b.State == model.Ready {
-			nums = append(nums, b.Num)
-		}
+// NewPlanner returns a planner without memory.
+func NewPlanner() *Planner {
+	return &Planner{
+		gone:     map[table.BackendNum]time.Time{},
+		silent:   map[table.HostNum]time.Time{},
+		first:    map[string]time.Time{},
+		limits:   map[string]*limit{},
+		balances: map[string]*balance{},
 	}
-	slices.SortFunc(nums, cmp.Compare[table.BackendNum])
-	return nums
 }
 
-func apportion(count int, ready []table.BackendNum) map[table.BackendNum]int {
-	quota := map[table.BackendNum]int{}
-	for i, num := range ready {
-		quota[num] = count / len(ready)
-		if i < count%len(ready) {
-			quota[num]++
-		}
+// Next returns the delta that brings the placement to its next step.
+func (p *Planner) Next(in Input) table.Delta {
+	if p.started.IsZero() {
+		p.started = in.Now
 	}
-	return quota
-}
-
-func takeQuota(quota map[table.BackendNum]int, ready []table.BackendNum) (table.BackendNum, bool) {
-	for _, num := range ready {
-		if quota[num] > 0 {
-			quota[num]--
-			return num, true
-		}
+	p.config.refresh(in.Tree, in.TreeRevision)
+	r := newRound(p, in)
+	r.planHosts()
+	r.planBackends()
+	for _, name := range p.config.services {
+		r.planService(name)
 	}
-	return 0, false
+	r.removeServices()
+	r.removeBackends()
+	return r.delta
 }
