Take reports of entry hosts on control hosts

Cause: net/rpc refused the method, as its argument type was not exported.

Change: the type is EntryReport.

--- a/internal/daemon/reports.go
+++ b/internal/daemon/reports.go
@@ -17,8 +17,8 @@
 	maxReportStatuses  = 256             // buckets in one report, the others follow
 )
 
-// flowReport is what an entry host tells the leading control host.
-type flowReport struct {
+// EntryReport is what an entry host tells the leading control host.
+type EntryReport struct {
 	Host        string
 	Incarnation uint64
 	Statuses    []records.BucketStatus
@@ -35,7 +35,7 @@
 }
 
 type datedReport struct {
-	flowReport
+	EntryReport
 	at time.Time
 }
 
@@ -45,7 +45,7 @@
 	sum         int64
 }
 
-func (r *flowReports) take(report flowReport, now time.Time) {
+func (r *flowReports) take(report EntryReport, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.last == nil {
@@ -60,7 +60,7 @@
 	if old.Incarnation != report.Incarnation {
 		add(r.ended, old.Flows)
 	}
-	r.last[report.Host] = datedReport{flowReport: report, at: now}
+	r.last[report.Host] = datedReport{EntryReport: report, at: now}
 }
 
 // statuses returns what homes reported of late about their buckets.
@@ -114,7 +114,7 @@
 type placementService struct{ d *Daemon }
 
 // Report takes an entry host's report about flows.
-func (s *placementService) Report(report flowReport, _ *struct{}) error {
+func (s *placementService) Report(report EntryReport, _ *struct{}) error {
 	s.d.reports.take(report, s.d.clock.Now())
 	return nil
 }
@@ -128,7 +128,7 @@
 		if leader == "" {
 			continue
 		}
-		report := flowReport{
+		report := EntryReport{
 			Host:        d.Config.Name,
 			Incarnation: d.incarnation,
 			Statuses:    worthTelling(d.Replica.Table(), d.flows.report().Buckets),
