--- /dev/null
+++ b/internal/wal/fakedisk_test.go
@@ -0,0 +1,169 @@
+package wal
+
+import (
+	"errors"
+	"io"
+	"io/fs"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"syscall"
+)
+
+var errCrash = errors.New("the host crashed")
+
+const sector = 16 // bytes that reach the disk together
+
+// inode is a file: what a process sees, and what survives a crash for sure.
+type inode struct{ data, durable []byte }
+
+// fakeDisk loses, tears and reorders whatever is not synced.
+type fakeDisk struct {
+	names   map[string]*inode
+	durable map[string]*inode
+	pending []func(map[string]*inode) // changes of names since SyncDir
+	budget  int                       // operations until the crash, negative for none
+	space   int                       // bytes until the disk is full, negative for no limit
+	syncErr error
+	ops     int
+}
+
+func newFakeDisk() *fakeDisk {
+	return &fakeDisk{names: map[string]*inode{}, durable: map[string]*inode{}, budget: -1, space: -1}
+}
+
+// op counts an operation. It reports whether the host crashes in it.
+func (d *fakeDisk) op() bool {
+	d.ops++
+	if d.budget > 0 {
+		d.budget--
+	}
+	return d.budget == 0
+}
+
+func (d *fakeDisk) rename(change func(map[string]*inode)) error {
+	change(d.names)
+	d.pending = append(d.pending, change)
+	if d.op() {
+		return errCrash
+	}
+	return nil
+}
+
+// crash leaves what may be found after the power came back.
+func (d *fakeDisk) crash(r *rand.Rand) {
+	for _, change := range d.pending {
+		if r.IntN(2) == 0 {
+			change(d.durable)
+		}
+	}
+	d.names, d.pending, d.budget = maps.Clone(d.durable), nil, -1
+	for _, f := range d.names {
+		f.data = torn(r, f.durable, f.data)
+		f.durable = slices.Clone(f.data)
+	}
+}
+
+// torn mixes the sectors of two versions of a file.
+func torn(r *rand.Rand, before, after []byte) []byte {
+	size := []int{len(before), len(after), (len(before) + len(after)) / 2}[r.IntN(3)]
+	out := make([]byte, size)
+	for at := 0; at < size; at += sector {
+		from := before
+		if r.IntN(2) == 0 {
+			from = after
+		}
+		if at < len(from) {
+			copy(out[at:min(at+sector, size)], from[at:])
+		}
+	}
+	return out
+}
+
+func (d *fakeDisk) Open(name string) (File, error) {
+	if d.names[name] == nil {
+		f := &inode{}
+		if err := d.rename(func(m map[string]*inode) { m[name] = f }); err != nil {
+			return nil, err
+		}
+	}
+	return &fakeFile{d, d.names[name]}, nil
+}
+
+func (d *fakeDisk) ReadFile(name string) ([]byte, error) {
+	if f := d.names[name]; f != nil {
+		return slices.Clone(f.data), nil
+	}
+	return nil, fs.ErrNotExist
+}
+
+func (d *fakeDisk) List() ([]string, error) { return slices.Sorted(maps.Keys(d.names)), nil }
+
+func (d *fakeDisk) Rename(from, to string) error {
+	f := d.names[from]
+	return d.rename(func(m map[string]*inode) {
+		delete(m, from)
+		m[to] = f
+	})
+}
+
+func (d *fakeDisk) Remove(name string) error {
+	if d.names[name] == nil {
+		return fs.ErrNotExist
+	}
+	return d.rename(func(m map[string]*inode) { delete(m, name) })
+}
+
+func (d *fakeDisk) SyncDir() error {
+	if d.op() {
+		return errCrash
+	}
+	d.durable, d.pending = maps.Clone(d.names), nil
+	return nil
+}
+
+func (d *fakeDisk) Lock() (io.Closer, error) { return io.NopCloser(nil), nil }
+func (d *fakeDisk) Path(name string) string  { return "data/" + name }
+func (d *fakeDisk) flip(name string, at int) { d.names[name].data[at] ^= 0x40 }
+
+type fakeFile struct {
+	d *fakeDisk
+	f *inode
+}
+
+func (f *fakeFile) Write(p []byte) (int, error) {
+	n := len(p)
+	if f.d.space >= 0 {
+		n = min(n, f.d.space)
+		f.d.space -= n
+	}
+	f.f.data = append(slices.Clone(f.f.data), p[:n]...)
+	if f.d.op() {
+		return 0, errCrash
+	}
+	if n < len(p) {
+		return n, syscall.ENOSPC
+	}
+	return n, nil
+}
+
+func (f *fakeFile) Sync() error {
+	if f.d.op() {
+		return errCrash
+	}
+	if f.d.syncErr != nil {
+		return f.d.syncErr
+	}
+	f.f.durable = slices.Clone(f.f.data)
+	return nil
+}
+
+func (f *fakeFile) Truncate(size int64) error {
+	f.f.data = slices.Clone(f.f.data[:size])
+	if f.d.op() {
+		return errCrash
+	}
+	return nil
+}
+
+func (f *fakeFile) Close() error { return nil }
--- /dev/null
+++ b/internal/wal/records.go
@@ -0,0 +1,81 @@
+package wal
+
+import (
+	"github.com/fxamacker/cbor/v2"
+
+	"greengagequay/internal/raft"
+)
+
+// batch is the payload of a frame of the log: the hard state, and the entries
+// that were saved with it.
+type batch struct {
+	_       struct{} `cbor:",toarray"`
+	Term    uint64
+	Vote    uint64
+	Commit  uint64
+	Entries []storedEntry
+}
+
+// storedEntry is the stored form of an entry.
+type storedEntry struct {
+	_     struct{} `cbor:",toarray"`
+	Index uint64
+	Term  uint64
+	Type  uint8
+	Data  []byte
+}
+
+// reset is the payload of kindReset.
+type reset struct {
+	_     struct{} `cbor:",toarray"`
+	Batch batch
+	Index uint64
+	Term  uint64
+}
+
+// identity is the payload of the identity file.
+type identity struct {
+	ID uint64
+}
+
+func batchOf(hs raft.HardState, entries []raft.Entry) batch {
+	b := batch{Term: hs.Term, Vote: uint64(hs.Vote), Commit: hs.Commit, Entries: make([]storedEntry, len(entries))}
+	for i, e := range entries {
+		b.Entries[i] = storedEntry{Index: e.Index, Term: e.Term, Type: uint8(e.Type), Data: e.Data}
+	}
+	return b
+}
+
+func (b batch) hardState() raft.HardState {
+	return raft.HardState{Term: b.Term, Vote: raft.ID(b.Vote), Commit: b.Commit}
+}
+
+func (e storedEntry) entry() raft.Entry {
+	return raft.Entry{Index: e.Index, Term: e.Term, Type: raft.EntryType(e.Type), Data: e.Data}
+}
+
+func encode(v any) []byte {
+	data, err := cbor.Marshal(v)
+	if err != nil {
+		panic(err) // structs of plain fields always encode
+	}
+	return data
+}
+
+// EncodeBackup returns a snapshot in the form of a backup file.
+func EncodeBackup(s raft.Snapshot) []byte {
+	return appendFrame(nil, kindSnapshot, s.Index, encode(s))
+}
+
+// DecodeBackup checks and parses a backup file. The name is for messages.
+func DecodeBackup(name string, data []byte) (raft.Snapshot, error) {
+	var s raft.Snapshot
+	f, ok := parseFrame(data)
+	if !ok || f.kind != kindSnapshot || f.size != len(data) {
+		return s, corrupt(name, 0, "the snapshot fails its check", remedySnapshot)
+	}
+	if err := cbor.Unmarshal(f.payload, &s); err != nil {
+		return s, corrupt(name, 0, "the snapshot does not decode: "+err.Error(), remedySnapshot)
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/wal/recover.go
@@ -0,0 +1,212 @@
+package wal
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"greengagequay/internal/fault"
+	"greengagequay/internal/raft"
+)
+
+// Remedies for stored data that fails its check.
+const (
+	remedyRejoin   = "move the data folder away, start with an empty one and replace this member: 'quayctl control remove', then 'add' and 'promote'"
+	remedySnapshot = "use another backup, or replace this member: 'quayctl control remove', then 'add' and 'promote'"
+)
+
+func corrupt(file string, offset int, what, remedy string) error {
+	return fault.New(fault.Corrupt, remedy, "data file %s is corrupt at offset %d: %s", file, offset, what)
+}
+
+// recovery rebuilds what was saved from the files.
+type recovery struct {
+	disk     Disk
+	hard     raft.HardState
+	entries  []raft.Entry
+	base     uint64 // index before the first entry, if known
+	baseTerm uint64
+	hasBase  bool
+	sequence uint64 // of the next frame, 0 before the first one
+	segments []segment
+	tail     int // valid bytes of the last segment
+}
+
+// readSegments replays all segments. A frame that was being written when the
+// host crashed may stand at the end of the last one.
+func (r *recovery) readSegments(names []string) error {
+	for i, name := range names {
+		number, err := numberOf(name, segmentPrefix)
+		if err != nil || i > 0 && number != r.segments[len(r.segments)-1].number+1 {
+			return corrupt(r.disk.Path(name), 0, "the segment before it is missing", remedyRejoin)
+		}
+		data, err := r.disk.ReadFile(name)
+		if err != nil {
+			return fmt.Errorf("read segment: %w", err)
+		}
+		last := i == len(names)-1
+		if last && i > 0 && unborn(data) {
+			if err := r.disk.Remove(name); err != nil {
+				return fmt.Errorf("remove segment: %w", err)
+			}
+			return nil // the segment before it is complete
+		}
+		r.segments = append(r.segments, segment{number: number})
+		if err := r.readSegment(name, data, last); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// unborn reports whether the host crashed while it created the segment.
+func unborn(data []byte) bool {
+	_, ok := parseFrame(data)
+	return !ok && !laterFrame(data)
+}
+
+func (r *recovery) readSegment(name string, data []byte, last bool) error {
+	at := 0
+	for at < len(data) {
+		f, ok := parseFrame(data[at:])
+		if !ok {
+			if !last || at == 0 || laterFrame(data[at:]) {
+				return corrupt(r.disk.Path(name), at, "a frame fails its check and is not the last one", remedyRejoin)
+			}
+			break
+		}
+		if r.sequence != 0 && f.sequence != r.sequence {
+			return corrupt(r.disk.Path(name), at, fmt.Sprintf("frame %d stands where %d belongs", f.sequence, r.sequence), remedyRejoin)
+		}
+		r.sequence = f.sequence + 1
+		if err := r.replay(f); err != nil {
+			return corrupt(r.disk.Path(name), at, err.Error(), remedyRejoin)
+		}
+		at += f.size
+	}
+	if at == 0 {
+		return corrupt(r.disk.Path(name), 0, "the segment is empty", remedyRejoin)
+	}
+	r.tail = at
+	return nil
+}
+
+func (r *recovery) replay(f frame) error {
+	var b batch
+	if f.kind == kindReset {
+		var x reset
+		if err := cbor.Unmarshal(f.payload, &x); err != nil {
+			return err
+		}
+		r.entries, r.base, r.baseTerm, r.hasBase = nil, x.Index, x.Term, true
+		for i := range r.segments {
+			r.segments[i].last = 0
+		}
+		b = x.Batch
+	} else if err := cbor.Unmarshal(f.payload, &b); err != nil {
+		return err
+	}
+	r.hard = b.hardState()
+	for _, e := range b.Entries {
+		if err := r.add(e.entry()); err != nil {
+			return err
+		}
+		s := &r.segments[len(r.segments)-1]
+		s.last = max(s.last, e.Index)
+	}
+	return nil
+}
+
+// add appends one entry. It replaces the entries from its index on.
+func (r *recovery) add(e raft.Entry) error {
+	if !r.hasBase {
+		r.base, r.hasBase = e.Index-1, true
+	}
+	next := r.base + uint64(len(r.entries)) + 1
+	if e.Index <= r.base || e.Index > next {
+		return fmt.Errorf("entry %d does not follow entry %d", e.Index, next-1)
+	}
+	r.entries = append(r.entries[:e.Index-r.base-1], e)
+	return nil
+}
+
+// holds reports whether the log holds the entry at the end of the snapshot.
+func (r *recovery) holds(s *raft.Snapshot) bool {
+	if r.hasBase && r.base == s.Index {
+		return true
+	}
+	i := int(s.Index) - int(r.base) - 1
+	return r.hasBase && i >= 0 && i < len(r.entries) && r.entries[i].Term == s.Term
+}
+
+// join returns what follows the snapshot.
+func (r *recovery) join(s *raft.Snapshot) (raft.Restored, error) {
+	out := raft.Restored{HardState: r.hard, Snapshot: s, Entries: r.entries}
+	index := uint64(0)
+	if s != nil {
+		index = s.Index
+	}
+	last := r.base + uint64(len(r.entries))
+	switch {
+	case r.hasBase && r.base > index:
+		return out, corrupt(r.disk.Path(""), 0, fmt.Sprintf("entries %d to %d are missing", index+1, r.base), remedyRejoin)
+	case s != nil && !r.holds(s):
+		out.Entries = nil // an installed snapshot replaces them
+	default:
+		out.Entries = slices.Clip(r.entries[index-r.base:])
+	}
+	if r.hard.Commit > max(index, last) {
+		return out, corrupt(r.disk.Path(""), 0, fmt.Sprintf("the log ends at entry %d, but %d was committed", last, r.hard.Commit), remedyRejoin)
+	}
+	return out, nil
+}
+
+// readSnapshot returns the latest snapshot, or nil.
+func readSnapshot(d Disk, names []string) (*raft.Snapshot, error) {
+	if len(names) == 0 {
+		return nil, nil
+	}
+	name := names[len(names)-1]
+	data, err := d.ReadFile(name)
+	if err != nil {
+		return nil, fmt.Errorf("read snapshot: %w", err)
+	}
+	s, err := DecodeBackup(d.Path(name), data)
+	return &s, err
+}
+
+func readIdentity(d Disk) (raft.ID, bool, error) {
+	data, err := d.ReadFile(identityName)
+	if notExist(err) {
+		return 0, false, nil
+	}
+	if err != nil {
+		return 0, false, fmt.Errorf("read identity: %w", err)
+	}
+	var x identity
+	f, ok := parseFrame(data)
+	if !ok || f.kind != kindIdentity || cbor.Unmarshal(f.payload, &x) != nil || x.ID == 0 {
+		return 0, false, corrupt(d.Path(identityName), 0, "the identity fails its check", remedyRejoin)
+	}
+	return raft.ID(x.ID), true, nil
+}
+
+// withPrefix returns the names with the prefix, in order.
+func withPrefix(names []string, prefix string) []string {
+	var found []string
+	for _, name := range names {
+		if strings.HasPrefix(name, prefix) {
+			found = append(found, name)
+		}
+	}
+	slices.Sort(found)
+	return found
+}
+
+func numberOf(name, prefix string) (uint64, error) {
+	var number uint64
+	_, err := fmt.Sscanf(strings.TrimPrefix(name, prefix), "%016x", &number)
+	return number, err
+}
--- /dev/null
+++ b/internal/wal/snapshot.go
@@ -0,0 +1,134 @@
+package wal
+
+import (
+	"errors"
+	"fmt"
+
+	"greengagequay/internal/fault"
+	"greengagequay/internal/raft"
+)
+
+// writeWhole replaces a file: after a crash it holds its old or its new
+// content.
+func (l *Log) writeWhole(name string, data []byte) error {
+	if l.failed != nil {
+		return l.failed
+	}
+	_ = l.disk.Remove(temporaryName)
+	file, err := l.disk.Open(temporaryName)
+	if err != nil {
+		return diskError(err, "mend the disk or free space")
+	}
+	_, err = file.Write(data)
+	if err == nil {
+		err = file.Sync()
+	}
+	if err := errors.Join(err, file.Close()); err != nil {
+		_ = l.disk.Remove(temporaryName)
+		return diskError(err, "free space on the disk; the host goes on by itself")
+	}
+	if err := errors.Join(l.disk.Rename(temporaryName, name), l.disk.SyncDir()); err != nil {
+		return l.fail(err)
+	}
+	return nil
+}
+
+// SaveSnapshot makes a snapshot survive a crash and removes the segments that
+// it replaces.
+func (l *Log) SaveSnapshot(s raft.Snapshot) error {
+	if err := l.writeWhole(snapshotName(s.Index), EncodeBackup(s)); err != nil {
+		return err
+	}
+	names, err := l.disk.List()
+	if err != nil {
+		return fmt.Errorf("list data folder: %w", err)
+	}
+	if err := l.removeOld(withPrefix(names, snapshotPrefix)); err != nil {
+		return err
+	}
+	return l.removeSegments(s.Index)
+}
+
+// Install replaces log and state by the snapshot of a leader.
+func (l *Log) Install(s raft.Snapshot, hs raft.HardState) error {
+	if err := l.writeWhole(snapshotName(s.Index), EncodeBackup(s)); err != nil {
+		return err
+	}
+	if err := l.writeReset(s, hs); err != nil {
+		return err
+	}
+	return l.SaveSnapshot(s)
+}
+
+// writeReset notes that the log goes on after the snapshot.
+func (l *Log) writeReset(s raft.Snapshot, hs raft.HardState) error {
+	x := reset{Batch: batchOf(hs, nil), Index: s.Index, Term: s.Term}
+	if err := l.write(kindReset, encode(x)); err != nil {
+		return err
+	}
+	l.hard = hs
+	for i := range l.segments {
+		l.segments[i].last = 0
+	}
+	return nil
+}
+
+// removeOld removes all snapshots but the latest.
+func (l *Log) removeOld(snapshots []string) error {
+	if len(snapshots) < 2 {
+		return nil
+	}
+	for _, name := range snapshots[:len(snapshots)-1] {
+		if err := l.disk.Remove(name); err != nil {
+			return fmt.Errorf("remove snapshot: %w", err)
+		}
+	}
+	return l.disk.SyncDir()
+}
+
+// removeSegments removes the segments whose entries all are in the snapshot,
+// oldest first and one by one, so that a crash leaves no gap.
+func (l *Log) removeSegments(index uint64) error {
+	for len(l.segments) > 1 && l.segments[0].last <= index {
+		if err := l.disk.Remove(l.segments[0].name()); err != nil {
+			return fmt.Errorf("remove segment: %w", err)
+		}
+		if err := l.disk.SyncDir(); err != nil {
+			return l.fail(err)
+		}
+		l.segments = l.segments[1:]
+	}
+	return nil
+}
+
+// Restore fills an empty data folder from a snapshot.
+func Restore(d Disk, id raft.ID, s raft.Snapshot) error {
+	lock, err := d.Lock()
+	if err != nil {
+		return err
+	}
+	l := &Log{disk: d, lock: lock, sequence: 1, hard: raft.HardState{Term: s.Term, Commit: s.Index}}
+	names, err := d.List()
+	if err == nil {
+		err = l.restore(names, id, s)
+	}
+	if l.file != nil {
+		err = errors.Join(err, l.file.Close())
+	}
+	return errors.Join(err, lock.Close())
+}
+
+func (l *Log) restore(names []string, id raft.ID, s raft.Snapshot) error {
+	for _, prefix := range []string{identityName, segmentPrefix, snapshotPrefix} {
+		if found := withPrefix(names, prefix); len(found) > 0 {
+			return fault.New(fault.Conflict, "name an empty folder", "data folder holds %s", l.disk.Path(found[0]))
+		}
+	}
+	if err := l.writeWhole(snapshotName(s.Index), EncodeBackup(s)); err != nil {
+		return err
+	}
+	if err := l.startSegment(1); err != nil {
+		return err
+	}
+	return l.writeIdentity(id)
+}
--- /dev/null
+++ b/internal/wal/wal.go
@@ -0,0 +1,251 @@
+package wal
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"syscall"
+
+	"greengagequay/internal/fault"
+	"greengagequay/internal/raft"
+)
+
+// segmentBytes is the size from which a new segment is started.
+const segmentBytes = 16 << 20
+
+// Names of the files in the data folder.
+const (
+	segmentPrefix  = "log-"
+	snapshotPrefix = "snapshot-"
+	identityName   = "identity"
+	temporaryName  = "temporary"
+)
+
+// segment is one file of the log.
+type segment struct {
+	number uint64
+	last   uint64 // highest index of its entries, 0 if none counts
+}
+
+func (s segment) name() string { return fmt.Sprintf("%s%016x", segmentPrefix, s.number) }
+
+func snapshotName(index uint64) string { return fmt.Sprintf("%s%016x", snapshotPrefix, index) }
+
+// Stored is what a data folder held when it was opened.
+type Stored struct {
+	ID       raft.ID // lives as long as the folder
+	Restored raft.Restored
+}
+
+// Log is an open data folder. It is not safe for concurrent use.
+type Log struct {
+	disk     Disk
+	lock     io.Closer
+	file     File // last segment
+	size     int64
+	segments []segment
+	sequence uint64 // of the next frame
+	hard     raft.HardState
+	failed   error // after it, nothing on disk is known for sure
+
+	segmentBytes int64
+}
+
+// Open opens and locks a data folder. An empty folder gets the identity that
+// newID returns.
+func Open(d Disk, newID func() raft.ID) (*Log, Stored, error) {
+	lock, err := d.Lock()
+	if err != nil {
+		return nil, Stored{}, err
+	}
+	l := &Log{disk: d, lock: lock, sequence: 1, segmentBytes: segmentBytes}
+	stored, err := l.open(newID)
+	if err != nil {
+		_ = lock.Close()
+		return nil, Stored{}, err
+	}
+	return l, stored, nil
+}
+
+func (l *Log) open(newID func() raft.ID) (Stored, error) {
+	names, err := l.disk.List()
+	if err != nil {
+		return Stored{}, fmt.Errorf("list data folder: %w", err)
+	}
+	id, found, err := readIdentity(l.disk)
+	if err != nil {
+		return Stored{}, err
+	}
+	if !found {
+		return l.create(names, newID())
+	}
+	snapshots := withPrefix(names, snapshotPrefix)
+	snap, err := readSnapshot(l.disk, snapshots)
+	if err != nil {
+		return Stored{}, err
+	}
+	r := &recovery{disk: l.disk}
+	segments := withPrefix(names, segmentPrefix)
+	if len(segments) == 0 {
+		return Stored{}, corrupt(l.disk.Path(""), 0, "the log is missing", remedyRejoin)
+	}
+	if err := r.readSegments(segments); err != nil {
+		return Stored{}, err
+	}
+	restored, err := r.join(snap)
+	if err != nil {
+		return Stored{}, err
+	}
+	l.segments, l.sequence, l.hard = r.segments, r.sequence, r.hard
+	if err := l.cutTail(int64(r.tail)); err != nil {
+		return Stored{}, err
+	}
+	if snap != nil && !r.holds(snap) {
+		// The host crashed while it installed a snapshot.
+		if err := l.writeReset(*snap, restored.HardState); err != nil {
+			return Stored{}, err
+		}
+	}
+	return Stored{ID: id, Restored: restored}, l.removeOld(snapshots)
+}
+
+// create fills a folder without an identity. The identity is written last: a
+// folder that has one has a log, and so knows how it voted.
+func (l *Log) create(names []string, id raft.ID) (Stored, error) {
+	if err := l.refuseOrphans(names); err != nil {
+		return Stored{}, err
+	}
+	if err := l.startSegment(1); err != nil {
+		return Stored{}, err
+	}
+	return Stored{ID: id}, l.writeIdentity(id)
+}
+
+// refuseOrphans removes what an interrupted creation left, and refuses a
+// folder whose identity was lost.
+func (l *Log) refuseOrphans(names []string) error {
+	if len(withPrefix(names, snapshotPrefix)) > 0 {
+		return corrupt(l.disk.Path(identityName), 0, "the identity is missing", remedyRejoin)
+	}
+	for _, name := range withPrefix(names, segmentPrefix) {
+		data, err := l.disk.ReadFile(name)
+		if err != nil {
+			return fmt.Errorf("read segment: %w", err)
+		}
+		if f, ok := parseFrame(data); ok && len(data) > f.size {
+			return corrupt(l.disk.Path(identityName), 0, "the identity is missing", remedyRejoin)
+		}
+		if err := l.disk.Remove(name); err != nil {
+			return fmt.Errorf("remove segment: %w", err)
+		}
+	}
+	return l.disk.SyncDir()
+}
+
+func (l *Log) writeIdentity(id raft.ID) error {
+	return l.writeWhole(identityName, appendFrame(nil, kindIdentity, 1, encode(identity{ID: uint64(id)})))
+}
+
+// cutTail cuts a frame that was being written when the host crashed.
+func (l *Log) cutTail(size int64) error {
+	file, err := l.disk.Open(l.segments[len(l.segments)-1].name())
+	if err != nil {
+		return fmt.Errorf("open segment: %w", err)
+	}
+	if err := errors.Join(file.Truncate(size), file.Sync(), l.disk.SyncDir()); err != nil {
+		return fmt.Errorf("cut segment: %w", err)
+	}
+	l.file, l.size = file, size
+	return nil
+}
+
+// startSegment creates the next segment and continues in it.
+func (l *Log) startSegment(number uint64) error {
+	s := segment{number: number}
+	data := appendFrame(nil, kindSegment, l.sequence, encode(batchOf(l.hard, nil)))
+	file, err := l.disk.Open(s.name())
+	if err == nil {
+		_, err = file.Write(data)
+		err = errors.Join(err, file.Sync(), l.disk.SyncDir())
+	}
+	if err != nil {
+		return l.fail(err) // the half segment may or may not be on disk
+	}
+	if l.file != nil {
+		_ = l.file.Close()
+	}
+	l.file, l.size = file, int64(len(data))
+	l.segments = append(l.segments, s)
+	l.sequence++
+	return nil
+}
+
+// HardState returns the hard state that was saved last.
+func (l *Log) HardState() raft.HardState { return l.hard }
+
+// Save makes hard state and entries survive a crash. Entries replace those
+// with the same or a higher index. After an error nothing of the call counts;
+// Failed tells whether it may be repeated.
+func (l *Log) Save(hs raft.HardState, entries []raft.Entry) error {
+	if l.failed == nil && l.size >= l.segmentBytes {
+		if err := l.startSegment(l.segments[len(l.segments)-1].number + 1); err != nil {
+			return err
+		}
+	}
+	if err := l.write(kindBatch, encode(batchOf(hs, entries))); err != nil {
+		return err
+	}
+	l.hard = hs
+	s := &l.segments[len(l.segments)-1]
+	for _, e := range entries {
+		s.last = max(s.last, e.Index)
+	}
+	return nil
+}
+
+// write appends one frame and syncs it.
+func (l *Log) write(kind frameKind, payload []byte) error {
+	if l.failed != nil {
+		return l.failed
+	}
+	data := appendFrame(nil, kind, l.sequence, payload)
+	if _, err := l.file.Write(data); err != nil {
+		if cut := l.file.Truncate(l.size); cut != nil {
+			return l.fail(errors.Join(err, cut))
+		}
+		return diskError(err, "free space on the disk; the host goes on by itself")
+	}
+	// After a failed sync the kernel may have dropped the data and report
+	// success the next time, so there is no second try.
+	if err := l.file.Sync(); err != nil {
+		return l.fail(err)
+	}
+	l.size += int64(len(data))
+	l.sequence++
+	return nil
+}
+
+func (l *Log) fail(err error) error {
+	l.failed = diskError(err, "mend the disk or free space, then restart the host")
+	return l.failed
+}
+
+func diskError(err error, remedy string) error {
+	what := "the disk fails"
+	if errors.Is(err, syscall.ENOSPC) {
+		what = "the disk is full"
+	}
+	return fault.New(fault.Unavailable, remedy, "%s; this host accepts nothing: %w", what, err)
+}
+
+// Failed returns the error after which the log takes nothing more, or nil.
+func (l *Log) Failed() error { return l.failed }
+
+// Close notes that the log ends in order, and unlocks the folder.
+func (l *Log) Close() error {
+	var err error
+	if l.failed == nil {
+		err = l.write(kindClosed, encode(batchOf(l.hard, nil)))
+	}
+	return errors.Join(err, l.file.Close(), l.lock.Close())
+}
--- /dev/null
+++ b/internal/wal/wal_test.go
@@ -0,0 +1,291 @@
+package wal
+
+import (
+	"bytes"
+	"errors"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"greengagequay/internal/fault"
+	"greengagequay/internal/raft"
+)
+
+var seeds = flag.Int("seeds", 8, "number of seeds for what a crash leaves")
+
+const testID = raft.ID(7)
+
+func newID() raft.ID { return testID }
+
+func entries(term uint64, from, to uint64) []raft.Entry {
+	var out []raft.Entry
+	for i := from; i <= to; i++ {
+		out = append(out, raft.Entry{Index: i, Term: term, Data: bytes.Repeat([]byte{byte(i)}, 30)})
+	}
+	return out
+}
+
+// view is what a member continues from.
+func view(r raft.Restored) string {
+	snap, list := uint64(0), r.Entries
+	if r.Snapshot != nil {
+		snap = r.Snapshot.Index
+	}
+	text := fmt.Sprintf("%+v snapshot %d:", r.HardState, snap)
+	for _, e := range list {
+		text += fmt.Sprintf(" %d/%d/%d", e.Index, e.Term, len(e.Data))
+	}
+	return text
+}
+
+// model is a naive log in memory, and the states that a crash may leave.
+type model struct {
+	now     raft.Restored
+	allowed []string
+}
+
+func (m *model) save(hs raft.HardState, es []raft.Entry) {
+	m.now.HardState = hs
+	for _, e := range es {
+		base := e.Index - 1 // entries before it
+		kept := m.now.Entries[:0:0]
+		for _, old := range m.now.Entries {
+			if old.Index <= base {
+				kept = append(kept, old)
+			}
+		}
+		m.now.Entries = append(kept, e)
+	}
+}
+
+func (m *model) snapshot(s raft.Snapshot, all bool) {
+	m.now.Snapshot = &s
+	kept := m.now.Entries[:0:0]
+	for _, e := range m.now.Entries {
+		if e.Index > s.Index && !all {
+			kept = append(kept, e)
+		}
+	}
+	m.now.Entries = kept
+}
+
+// workload runs every operation of the log and returns the first error. The
+// model is updated after each success.
+func workload(l *Log, m *model) error {
+	for i := uint64(1); i <= 12; i++ {
+		hs, es := raft.HardState{Term: 1, Vote: 3, Commit: i - 1}, entries(1, i*2-1, i*2)
+		if err := m.try(func(n *model) { n.save(hs, es) }, func() error { return l.Save(hs, es) }); err != nil {
+			return err
+		}
+	}
+	hs := raft.HardState{Term: 2, Vote: 2, Commit: 18}
+	es := entries(2, 20, 21) // replaces entries 20 to 24
+	if err := m.try(func(n *model) { n.save(hs, es) }, func() error { return l.Save(hs, es) }); err != nil {
+		return err
+	}
+	s := raft.Snapshot{Index: 15, Term: 1, Data: []byte("state")}
+	if err := m.try(func(n *model) { n.snapshot(s, false) }, func() error { return l.SaveSnapshot(s) }); err != nil {
+		return err
+	}
+	s = raft.Snapshot{Index: 20, Term: 3, Data: []byte("other state")}
+	hs = raft.HardState{Term: 3, Commit: 20}
+	between := *m
+	between.snapshot(s, true) // snapshot on disk, reset not yet
+	err := m.try(func(n *model) {
+		n.allowed = append(n.allowed, view(between.now))
+		n.snapshot(s, true)
+		n.now.HardState = hs
+	}, func() error { return l.Install(s, hs) })
+	if err != nil {
+		return err
+	}
+	hs.Commit, es = 21, entries(3, 21, 24)
+	return m.try(func(n *model) { n.save(hs, es) }, func() error { return l.Save(hs, es) })
+}
+
+func (m *model) try(change func(*model), do func() error) error {
+	next := model{now: m.now, allowed: []string{view(m.now)}}
+	change(&next)
+	m.allowed = append(next.allowed, view(next.now))
+	if err := do(); err != nil {
+		return err
+	}
+	m.now, m.allowed = next.now, []string{view(next.now)}
+	return nil
+}
+
+func openSmall(d Disk) (*Log, Stored, error) {
+	l, stored, err := Open(d, newID)
+	if err == nil {
+		l.segmentBytes = 300
+	}
+	return l, stored, err
+}
+
+// The host crashes at every operation on the disk, the disk loses, tears and
+// reorders what was not synced, and the host crashes again in its recovery.
+func TestCrashAtEveryPoint(t *testing.T) {
+	for seed := range uint64(*seeds) {
+		for at := 1; ; at++ {
+			if done := crashAt(t, seed, at); done {
+				break
+			}
+		}
+	}
+}
+
+func crashAt(t *testing.T, seed uint64, at int) bool {
+	r := rand.New(rand.NewPCG(seed, uint64(at)))
+	d := newFakeDisk()
+	d.budget = at
+	m := &model{allowed: []string{view(raft.Restored{})}}
+	l, _, err := openSmall(d)
+	if err == nil {
+		err = workload(l, m)
+	}
+	done := err == nil
+	for again := 1; ; again++ {
+		d.crash(r)
+		d.budget = again
+		l, stored, err := openSmall(d)
+		if err != nil && errors.Is(err, errCrash) {
+			continue
+		}
+		if err != nil {
+			t.Fatalf("seed %d, crash at %d and %d: %v", seed, at, again, err)
+		}
+		got := view(stored.Restored)
+		for _, want := range m.allowed {
+			if got == want {
+				goOn(t, d, l, stored.Restored)
+				return done
+			}
+		}
+		t.Fatalf("seed %d, crash at %d and %d:\ngot  %s\nwant %s", seed, at, again, got, strings.Join(m.allowed, "\n or  "))
+	}
+}
+
+// goOn appends to what a crash left, and reads it again.
+func goOn(t *testing.T, d *fakeDisk, l *Log, r raft.Restored) {
+	d.budget = -1
+	m := &model{now: r}
+	next := uint64(1 + len(r.Entries))
+	if r.Snapshot != nil {
+		next += r.Snapshot.Index
+	}
+	hs := raft.HardState{Term: 9}
+	m.save(hs, entries(9, next, next+1))
+	err := l.Save(hs, entries(9, next, next+1))
+	if err == nil {
+		_, r, err := openSmall(d)
+		if err != nil || view(r.Restored) != view(m.now) {
+			t.Fatalf("after a crash: %v\ngot  %s\nwant %s", err, view(r.Restored), view(m.now))
+		}
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Any flipped bit before the last frame is refused; one in the last frame looks
+// like a torn write, which cuts that frame alone.
+func TestFlippedBits(t *testing.T) {
+	c := qt.New(t)
+	d := newFakeDisk()
+	l, _, err := Open(d, newID)
+	c.Assert(err, qt.IsNil)
+	c.Assert(l.Save(raft.HardState{Term: 1}, entries(1, 1, 3)), qt.IsNil)
+	c.Assert(l.Save(raft.HardState{Term: 1, Commit: 3}, entries(1, 4, 5)), qt.IsNil)
+	name := l.segments[0].name()
+	lastFrame := int(l.size)
+	c.Assert(l.Close(), qt.IsNil)
+	for at := range lastFrame {
+		d.flip(name, at)
+		_, _, err := Open(d, newID)
+		c.Assert(fault.KindOf(err), qt.Equals, fault.Corrupt, qt.Commentf("offset %d: %v", at, err))
+		c.Assert(fault.From(err).Message, qt.Matches, "data file data/log-0000000000000001 is corrupt at offset .*")
+		c.Assert(fault.From(err).Remedy, qt.Not(qt.Equals), "")
+		d.flip(name, at)
+	}
+	_, stored, err := Open(d, newID)
+	c.Assert(err, qt.IsNil)
+	c.Assert(stored.Restored.Entries, qt.HasLen, 5)
+}
+
+func TestMissingFilesAreRefused(t *testing.T) {
+	for _, prefix := range []string{segmentPrefix, snapshotPrefix, identityName} {
+		t.Run(prefix, func(t *testing.T) {
+			c := qt.New(t)
+			d := newFakeDisk()
+			l, _, err := openSmall(d)
+			c.Assert(err, qt.IsNil)
+			c.Assert(workload(l, &model{}), qt.IsNil)
+			c.Assert(l.Close(), qt.IsNil)
+			names, _ := d.List()
+			for _, name := range withPrefix(names, prefix) {
+				c.Assert(d.Remove(name), qt.IsNil)
+			}
+			_, _, err = openSmall(d)
+			c.Assert(fault.KindOf(err), qt.Equals, fault.Corrupt, qt.Commentf("%v", err))
+		})
+	}
+}
+
+func TestFullDisk(t *testing.T) {
+	c := qt.New(t)
+	d := newFakeDisk()
+	l, _, err := Open(d, newID)
+	c.Assert(err, qt.IsNil)
+	c.Assert(l.Save(raft.HardState{Term: 1}, entries(1, 1, 2)), qt.IsNil)
+	d.space = 40
+	err = l.Save(raft.HardState{Term: 1}, entries(1, 3, 4))
+	c.Assert(fault.KindOf(err), qt.Equals, fault.Unavailable)
+	c.Assert(err, qt.ErrorMatches, "the disk is full.*free space.*")
+	c.Assert(l.Failed(), qt.IsNil)
+	d.space = -1
+	c.Assert(l.Save(raft.HardState{Term: 1}, entries(1, 3, 4)), qt.IsNil)
+	d.crash(rand.New(rand.NewPCG(1, 1)))
+	_, stored, err := Open(d, newID)
+	c.Assert(err, qt.IsNil)
+	c.Assert(stored.Restored.Entries, qt.HasLen, 4)
+}
+
+func TestFailedSyncIsFinal(t *testing.T) {
+	c := qt.New(t)
+	d := newFakeDisk()
+	l, _, err := Open(d, newID)
+	c.Assert(err, qt.IsNil)
+	d.syncErr = errors.New("input/output error")
+	c.Assert(l.Save(raft.HardState{Term: 1}, entries(1, 1, 2)), qt.IsNotNil)
+	d.syncErr = nil
+	c.Assert(l.Save(raft.HardState{Term: 1}, entries(1, 1, 2)), qt.ErrorMatches, ".*restart the host")
+}
+
+func TestFolderIsLockedAndRestored(t *testing.T) {
+	c := qt.New(t)
+	d, err := OpenFolder(t.TempDir())
+	c.Assert(err, qt.IsNil)
+	backup, err := DecodeBackup("b", EncodeBackup(raft.Snapshot{Index: 9, Term: 2, Data: []byte("x")}))
+	c.Assert(err, qt.IsNil)
+	c.Assert(Restore(d, testID, backup), qt.IsNil)
+	c.Assert(fault.KindOf(Restore(d, testID, backup)), qt.Equals, fault.Conflict)
+	l, stored, err := Open(d, nil)
+	c.Assert(err, qt.IsNil)
+	c.Assert(stored.ID, qt.Equals, testID)
+	c.Assert(string(stored.Restored.Snapshot.Data), qt.Equals, "x")
+	_, _, err = Open(d, nil)
+	c.Assert(fault.KindOf(err), qt.Equals, fault.Conflict)
+	c.Assert(l.Save(raft.HardState{Term: 3}, entries(3, 10, 11)), qt.IsNil)
+	c.Assert(l.Close(), qt.IsNil)
+	_, stored, err = Open(d, nil)
+	c.Assert(err, qt.IsNil)
+	c.Assert(stored.Restored.Entries, qt.HasLen, 2)
+	bad := EncodeBackup(backup)
+	bad[len(bad)-1]++
+	_, err = DecodeBackup("b", bad)
+	c.Assert(fault.KindOf(err), qt.Equals, fault.Corrupt)
+}
