--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -47,6 +49,9 @@
 	for range 50 {
 		for _, addr := range []string{d.Config.RPC, d.Config.API, d.Config.Requests, d.Config.Listeners["pantanir"]} {
 			conn, err := net.Dial("tcp", addr)
+			if errors.Is(err, syscall.ECONNRESET) {
+				continue // a listener without a backend server resets at once
+			}
 			c.Assert(err, qt.IsNil)
 			_, _ = conn.Write(garbage())
 			_ = conn.Close()
