--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -100,7 +100,8 @@
 		Name: spec.name, Zone: spec.zone, Roles: []config.Role{config.Entry},
 		RPC: loopback, API: loopback, Gossip: loopback,
 		Packets: loopback, Relay: loopback, Requests: loopback,
-		Log: config.Log{Level: "warn", Format: "text"},
+		Listeners: map[string]string{serviceSpecs[0].name: loopback},
+		Log:       config.Log{Level: "warn", Format: "text"},
 	}
 	if spec.control {
 		c.Roles = append(c.Roles, config.Control)
