--- a/internal/place/service.go
+++ b/internal/place/service.go
@@ -112,6 +112,7 @@
 			continue
 		}
 		update := table.BucketUpdate{Service: s.name, Index: i, Count: len(s.buckets), Bucket: s.changed[i]}
+		update.Bucket.Since = 0 // set where the delta is applied
 		s.r.delta.SetBuckets = append(s.r.delta.SetBuckets, update)
 	}
 }
--- a/internal/table/bucket.go
+++ b/internal/table/bucket.go
@@ -35,26 +35,28 @@
 type HostNum uint32
 
 // Bucket is the placement of one bucket. It has a fixed size and is comparable.
+// Its stored form has short keys, as changed buckets are most of what the
+// placement sends to hosts.
 type Bucket struct {
 	// Candidates are the backend servers that may have flows of the bucket,
 	// oldest first, each once, 0 where unused.
-	Candidates [MaxCandidates]BackendNum
+	Candidates [MaxCandidates]BackendNum `cbor:"1,keyasint"`
 	// Home records the flows of a moving bucket. It is 0 if no entry host can.
-	Home HostNum
+	Home HostNum `cbor:"2,keyasint,omitempty"`
 	// Backups hold copies of the records, first the one that becomes the home
 	// next, 0 where unused.
-	Backups [MaxBackups]HostNum
+	Backups [MaxBackups]HostNum `cbor:"3,keyasint"`
 	// Since is the revision at which Phase, Home, target or fallback changed.
-	Since uint64
-	Phase Phase
+	Since uint64 `cbor:"4,keyasint,omitempty"`
+	Phase Phase  `cbor:"5,keyasint,omitempty"`
 	// Target is the index of the candidate that takes new flows.
-	Target uint8
+	Target uint8 `cbor:"6,keyasint,omitempty"`
 	// Fallback is the index of the candidate that has the flows of which no
 	// record exists.
-	Fallback uint8
+	Fallback uint8 `cbor:"7,keyasint,omitempty"`
 	// Synced has bit i set if Backups[i] has acknowledged a copy of every
 	// record. Other backups may not become the home while records matter.
-	Synced uint8
+	Synced uint8 `cbor:"8,keyasint,omitempty"`
 }
 
 // Len returns the number of candidates.
--- a/internal/table/placement.go
+++ b/internal/table/placement.go
@@ -71,10 +71,10 @@
 
 // BucketUpdate replaces one bucket.
 type BucketUpdate struct {
-	Service string
-	Index   int
-	Count   int // number of buckets of the service
-	Bucket  Bucket
+	Service string `cbor:"1,keyasint"`
+	Index   int    `cbor:"2,keyasint"`
+	Count   int    `cbor:"3,keyasint"` // number of buckets of the service
+	Bucket  Bucket `cbor:"4,keyasint"`
 }
 
 // Empty reports whether the delta changes nothing.
