Replace connections between hosts that went silent

Cause: a call that timed out left its connection in use, so a connection that something between had lost track of failed every later call. Change: a connection on which nothing was read during a call that timed out is dropped; the next call opens another. The client has a file of its own. Conclusion: one call is lost, not all.

--- /dev/null
+++ b/internal/rpc/client.go
@@ -0,0 +1,133 @@
+package rpc
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// dialTimeout bounds the opening of a connection to a peer.
+const dialTimeout = time.Second
+
+// Client calls peers by their address. It is safe for concurrent use.
+type Client struct {
+	bytes *atomic.Int64
+	tls   func(host string) *tls.Config
+	mu    sync.Mutex
+	peers map[string]*peer
+}
+
+// peer is the connection to one peer.
+type peer struct {
+	*rpc.Client
+	conn *countingConn
+}
+
+// NewClient returns a client that adds the bytes it moves to bytes. tlsFor
+// returns the TLS settings of a connection to a host; nil is plain.
+func NewClient(bytes *atomic.Int64, tlsFor func(host string) *tls.Config) *Client {
+	return &Client{bytes: bytes, tls: tlsFor, peers: map[string]*peer{}}
+}
+
+// Call calls a method of the peer at addr. A call that cannot be delivered
+// fails with kind Unavailable, as does one that outlives ctx: it may have run.
+func (c *Client) Call(ctx context.Context, addr, method string, args, reply any) error {
+	p, err := c.peer(ctx, addr)
+	if err != nil {
+		return unavailable(addr, method, err)
+	}
+	readBefore := p.conn.read.Load()
+	call := p.Go(method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		return c.result(addr, method, p, call.Error)
+	case <-ctx.Done():
+		c.suspect(ctx, addr, p, readBefore)
+		return unavailable(addr, method, ctx.Err())
+	}
+}
+
+// suspect drops a connection on which nothing was read during a whole call
+// that timed out. Something between may have lost track of it, while a new
+// connection works. A call that its caller gave up says nothing.
+func (c *Client) suspect(ctx context.Context, addr string, p *peer, readBefore int64) {
+	timedOut := errors.Is(ctx.Err(), context.DeadlineExceeded)
+	if timedOut && p.conn.read.Load() == readBefore {
+		c.drop(addr, p)
+	}
+}
+
+func (c *Client) result(addr, method string, p *peer, err error) error {
+	var remote rpc.ServerError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &remote):
+		return decodeError(string(remote))
+	}
+	c.drop(addr, p)
+	return unavailable(addr, method, err)
+}
+
+func (c *Client) peer(ctx context.Context, addr string) (*peer, error) {
+	if p := c.known(addr); p != nil {
+		return p, nil
+	}
+	conn, err := c.dial(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	counted := &countingConn{Conn: conn, bytes: c.bytes}
+	fresh := &peer{Client: rpc.NewClient(counted), conn: counted}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p := c.peers[addr]; p != nil {
+		_ = fresh.Close()
+		return p, nil
+	}
+	c.peers[addr] = fresh
+	return fresh, nil
+}
+
+func (c *Client) known(addr string) *peer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.peers[addr]
+}
+
+func (c *Client) dial(ctx context.Context, addr string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	if c.tls == nil {
+		return dialer.DialContext(ctx, "tcp", addr)
+	}
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return nil, err
+	}
+	secure := tls.Dialer{NetDialer: &dialer, Config: c.tls(host)}
+	return secure.DialContext(ctx, "tcp", addr)
+}
+
+func (c *Client) drop(addr string, p *peer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.peers[addr] == p {
+		delete(c.peers, addr)
+	}
+	_ = p.Close()
+}
+
+// Close closes all connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for addr, p := range c.peers {
+		_ = p.Close()
+		delete(c.peers, addr)
+	}
+}
--- /dev/null
+++ b/internal/rpc/conn.go
@@ -0,0 +1,26 @@
+package rpc
+
+import (
+	"net"
+	"sync/atomic"
+)
+
+// countingConn adds the bytes it moves to a counter.
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+	read  atomic.Int64 // bytes read from this connection
+}
+
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	c.read.Add(int64(n))
+	return n, err
+}
+
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -3,8 +3,6 @@
 package rpc
 
 import (
-	"context"
-	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -12,14 +10,10 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"greengagequay/internal/fault"
 )
 
-// dialTimeout bounds the opening of a connection to a peer.
-const dialTimeout = time.Second
-
 // Server serves calls from peers.
 type Server struct {
 	rpc      *rpc.Server
@@ -90,102 +84,6 @@
 	}
 }
 
-// Client calls peers by their address. It is safe for concurrent use.
-type Client struct {
-	bytes *atomic.Int64
-	tls   func(host string) *tls.Config
-	mu    sync.Mutex
-	peers map[string]*rpc.Client
-}
-
-// NewClient returns a client that adds the bytes it moves to bytes. tlsFor
-// returns the TLS settings of a connection to a host; nil is plain.
-func NewClient(bytes *atomic.Int64, tlsFor func(host string) *tls.Config) *Client {
-	return &Client{bytes: bytes, tls: tlsFor, peers: map[string]*rpc.Client{}}
-}
-
-// Call calls a method of the peer at addr. A call that cannot be delivered
-// fails with kind Unavailable, as does one that outlives ctx: it may have run.
-func (c *Client) Call(ctx context.Context, addr, method string, args, reply any) error {
-	peer, err := c.peer(ctx, addr)
-	if err != nil {
-		return unavailable(addr, method, err)
-	}
-	call := peer.Go(method, args, reply, make(chan *rpc.Call, 1))
-	select {
-	case <-call.Done:
-		return c.result(addr, method, peer, call.Error)
-	case <-ctx.Done():
-		return unavailable(addr, method, ctx.Err())
-	}
-}
-
-func (c *Client) result(addr, method string, peer *rpc.Client, err error) error {
-	var remote rpc.ServerError
-	switch {
-	case err == nil:
-		return nil
-	case errors.As(err, &remote):
-		return decodeError(string(remote))
-	}
-	c.drop(addr, peer)
-	return unavailable(addr, method, err)
-}
-
-func (c *Client) peer(ctx context.Context, addr string) (*rpc.Client, error) {
-	c.mu.Lock()
-	peer := c.peers[addr]
-	c.mu.Unlock()
-	if peer != nil {
-		return peer, nil
-	}
-	conn, err := c.dial(ctx, addr)
-	if err != nil {
-		return nil, err
-	}
-	fresh := rpc.NewClient(&countingConn{Conn: conn, bytes: c.bytes})
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if peer := c.peers[addr]; peer != nil {
-		_ = fresh.Close()
-		return peer, nil
-	}
-	c.peers[addr] = fresh
-	return fresh, nil
-}
-
-func (c *Client) dial(ctx context.Context, addr string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	if c.tls == nil {
-		return dialer.DialContext(ctx, "tcp", addr)
-	}
-	host, _, err := net.SplitHostPort(addr)
-	if err != nil {
-		return nil, err
-	}
-	secure := tls.Dialer{NetDialer: &dialer, Config: c.tls(host)}
-	return secure.DialContext(ctx, "tcp", addr)
-}
-
-func (c *Client) drop(addr string, peer *rpc.Client) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.peers[addr] == peer {
-		delete(c.peers, addr)
-	}
-	_ = peer.Close()
-}
-
-// Close closes all connections.
-func (c *Client) Close() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for addr, peer := range c.peers {
-		_ = peer.Close()
-		delete(c.peers, addr)
-	}
-}
-
 func unavailable(addr, method string, err error) error {
 	return fault.New(fault.Unavailable, "check the host and the network between", "call %s at %s: %w", method, addr, err)
 }
@@ -209,21 +107,3 @@
 	}
 	return &fault.Error{Kind: fault.Kind(parts[0]), Message: parts[1], Remedy: parts[2]}
 }
-
-// countingConn adds the bytes it moves to a counter.
-type countingConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-func (c *countingConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-func (c *countingConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
