Spread plain connections evenly and end those that went silent

Cause: a plain connection went to a random backend server, and one that something between had lost track of stayed open for good.

--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -1,9 +1,11 @@
 package entry
 
 import (
+	"cmp"
 	"io"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 
 	gometrics "github.com/rcrowley/go-metrics"
@@ -24,11 +26,13 @@
 	log      *logs.Part
 	open     gometrics.Counter
 	wg       sync.WaitGroup
+	mu       sync.Mutex
+	counts   map[string]int // open connections by backend server
 }
 
 // NewStream returns a server of connections of the service.
 func NewStream(l net.Listener, service string, r *replica.Replica, m *metrics.Registry, log *logs.Part) *Stream {
-	return &Stream{listener: l, service: service, replica: r, log: log, open: m.Counter("streams.open." + service)}
+	return &Stream{listener: l, service: service, replica: r, log: log, counts: map[string]int{}, open: m.Counter("streams.open." + service)}
 }
 
 // Serve accepts connections until Close.
@@ -54,12 +58,15 @@
 
 func (s *Stream) relay(client *net.TCPConn) {
 	defer client.Close()
-	server := s.dial()
+	server, backend := s.dial()
 	if server == nil {
 		_ = client.SetLinger(0) // resets the connection
 		return
 	}
 	defer server.Close()
+	defer s.count(backend, -1)
+	watchSilence(client)
+	watchSilence(server)
 	s.open.Inc(1)
 	defer s.open.Dec(1)
 	var both sync.WaitGroup
@@ -69,31 +76,48 @@
 	both.Wait()
 }
 
-// dial connects to a ready backend server, or returns nil.
-func (s *Stream) dial() *net.TCPConn {
-	ready := s.ready()
-	rand.Shuffle(len(ready), func(i, j int) { ready[i], ready[j] = ready[j], ready[i] })
-	for _, b := range ready {
-		conn, err := net.DialTimeout("tcp", b.Stream.String(), dialTimeout)
+// dial connects to a ready backend server and counts the connection against
+// it. It returns nil if none can be reached.
+func (s *Stream) dial() (conn *net.TCPConn, backend string) {
+	for _, b := range s.ranked() {
+		s.count(b.ID, 1)
+		c, err := net.DialTimeout("tcp", b.Stream.String(), dialTimeout)
 		if err == nil {
-			return conn.(*net.TCPConn)
+			return c.(*net.TCPConn), b.ID
 		}
+		s.count(b.ID, -1)
 		s.log.Warnf("backend server %s refused a connection: %v", b.ID, err)
 	}
 	s.log.Warnf("service %s has no backend server for a connection", s.service)
-	return nil
+	return nil, ""
 }
 
-func (s *Stream) ready() []table.Backend {
+// ranked returns the ready backend servers, those with the fewest connections
+// of this host first. Equal ones are in random order, so that hosts which
+// start together do not choose the same one.
+func (s *Stream) ranked() []table.Backend {
 	var ready []table.Backend
 	for _, b := range s.replica.Table().Backends {
 		if b.Service == s.service && b.State == model.Ready && b.Stream.IsValid() {
 			ready = append(ready, b)
 		}
 	}
+	rand.Shuffle(len(ready), func(i, j int) { ready[i], ready[j] = ready[j], ready[i] })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	slices.SortStableFunc(ready, func(a, b table.Backend) int { return cmp.Compare(s.counts[a.ID], s.counts[b.ID]) })
 	return ready
 }
 
+func (s *Stream) count(backend string, change int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts[backend] += change
+	if s.counts[backend] == 0 {
+		delete(s.counts, backend)
+	}
+}
+
 // copyHalf copies one direction and passes its end on. An error resets both
 // sides, so that neither takes a cut stream for a whole one.
 func copyHalf(done *sync.WaitGroup, to, from *net.TCPConn) {
