--- a/internal/cli/settings.go
+++ b/internal/cli/settings.go
@@ -1,7 +1,6 @@
 package cli
 
 import (
-	"crypto/rand"
 	"encoding/json"
 	"os/user"
 	"time"
@@ -22,34 +21,6 @@
 	Keys    keysCmd    `cmd:"" help:"List all keys."`
 }
 
-// changeFlags are shared by all commands that submit a change.
-type changeFlags struct {
-	ID      string `help:"Id of the change; repeat it to repeat the change safely. Chosen at random if absent."`
-	Base    *int64 `help:"Settings revision that the change is based on."`
-	Message string `help:"Why the change is made." short:"m"`
-	DryRun  bool   `help:"Check the change, but do not submit it."`
-}
-
-func (f changeFlags) submit(e *env, ops []api.Op) error {
-	client, ctx, cancel, err := e.client()
-	if err != nil {
-		return err
-	}
-	defer cancel()
-	req := &api.ChangeRequest{ID: f.ID, Ops: ops, Author: api.NewOptString(author()), Message: api.NewOptString(f.Message), DryRun: api.NewOptBool(f.DryRun)}
-	if req.ID == "" {
-		req.ID = rand.Text()
-	}
-	if f.Base != nil {
-		req.Base.SetTo(*f.Base)
-	}
-	res, err := client.SubmitChange(ctx, req)
-	if err != nil {
-		return err
-	}
-	return e.print(res, "ID\tREVISION\tREPEATED\tDRY-RUN", [][]any{{res.ID, res.Revision, res.Repeated.Value, res.DryRun.Value}})
-}
-
 func author() string {
 	if u, err := user.Current(); err == nil {
 		return u.Username
