control: three control hosts on the replicated log in place of one file

Cause: accepted changes lived on one control host; a lost disk lost them. Change: internal/control joins raft and wal with the replica: proposals are forwarded to the leader and repeated until their answer is known (ids and bases keep them from taking effect twice), current reads by lease or quorum round, members, backup and restore, silence of a host whose disk is full, hand-over of the leadership on a graceful stop. FileLog is gone. The demo runs three control hosts. Tests: fixtures set Bootstrap, since a host without it waits to be added.

--- a/internal/apiserver/apiserver.go
+++ b/internal/apiserver/apiserver.go
@@ -37,6 +37,7 @@
 	Replica *replica.Replica
 	Members member.View
 	Submit  Submitter
+	Control Controller
 	Clock   clock.Clock
 }
 
--- a/internal/apiserver/lists.go
+++ b/internal/apiserver/lists.go
@@ -18,7 +18,11 @@
 	s.Replica.Read(func(st *state.State) {
 		out.Revision, out.SettingsRevision = int64(st.Revision), int64(st.SettingsRevision)
 	})
-	out.Current = out.Leader != ""
+	current, age, known := s.Control.Currency()
+	out.Current = current
+	if known {
+		out.AgeSeconds.SetTo(age.Seconds())
+	}
 	for _, h := range s.Members.Hosts() {
 		if h.State == model.Alive && int64(h.Revision) < out.SettingsRevision {
 			out.Lagging = append(out.Lagging, api.HostLag{Name: h.Name, Revision: int64(h.Revision)})
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -42,6 +42,7 @@
 	Backends backendsCmd `cmd:"" help:"List backend servers."`
 	Hosts    hostsCmd    `cmd:"" help:"List hosts of the system."`
 	Status   statusCmd   `cmd:"" help:"Show revision, leader and hosts that lag behind."`
+	Control  controlCmd  `cmd:"" help:"Operate the control hosts: members, backup, restore."`
 	Drain    drainCmd    `cmd:"" help:"Take new work away from a backend server."`
 	Standin  standinCmd  `cmd:"" help:"Run a stand-in backend server, for trials."`
 	Demo     demoCmd     `cmd:"" help:"Run a small system on loopback and report what callers saw."`
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -21,7 +21,7 @@
 func startHost(t *testing.T) string {
 	const any = "127.0.0.1:0"
 	b, err := daemon.Bind(config.Config{
-		Name: "rvk-a-1", Zone: "rvk-a", Roles: []config.Role{config.Entry, config.Control}, Data: t.TempDir(),
+		Name: "rvk-a-1", Zone: "rvk-a", Roles: []config.Role{config.Entry, config.Control}, Data: t.TempDir(), Bootstrap: true,
 		RPC: any, API: any, Gossip: any, Packets: any, Relay: any, Requests: any,
 		Log: config.Log{Level: "warn", Format: "text"},
 	})
--- /dev/null
+++ b/internal/cli/control.go
@@ -0,0 +1,163 @@
+package cli
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"io"
+	"os"
+
+	"greengagequay/internal/api"
+	"greengagequay/internal/control"
+	"greengagequay/internal/fault"
+	"greengagequay/internal/wal"
+)
+
+// backupMode is the mode of a backup file.
+const backupMode = 0o600
+
+type controlCmd struct {
+	Members  membersCmd  `cmd:"" help:"List the members of the replicated log."`
+	Add      addCmd      `cmd:"" help:"Add a control host as a learner."`
+	Promote  promoteCmd  `cmd:"" help:"Make a learner that has caught up a voter."`
+	Remove   removeCmd   `cmd:"" help:"Remove a member, such as a host whose disk was lost."`
+	Snapshot snapshotCmd `cmd:"" help:"Write a backup of the committed state."`
+	Restore  restoreCmd  `cmd:"" help:"Fill an empty data folder from a backup, while quayd is stopped."`
+}
+
+type membersCmd struct{}
+
+func (c *membersCmd) Run(e *env) error {
+	client, ctx, cancel, err := e.client()
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	list, err := client.ListControlMembers(ctx)
+	if err != nil {
+		return err
+	}
+	var rows [][]any
+	for _, m := range list {
+		rows = append(rows, []any{m.Name, m.Address, m.Role, m.Leader, m.Matched.Value})
+	}
+	return e.print(list, "HOST\tADDRESS\tROLE\tLEADER\tMATCHED", rows)
+}
+
+// changeMember submits a change of one member.
+func changeMember(e *env, action api.ControlMemberChangeAction, name, addr string) error {
+	client, ctx, cancel, err := e.client()
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	req := &api.ControlMemberChange{Action: action, Name: name}
+	if addr != "" {
+		req.Address.SetTo(addr)
+	}
+	res, err := client.ChangeControlMember(ctx, req)
+	if err != nil {
+		return err
+	}
+	return e.print(res, "HOST\tREVISION", [][]any{{res.ID, res.Revision}})
+}
+
+type addCmd struct {
+	Name    string `arg:"" help:"Name of the host."`
+	Address string `arg:"" help:"RPC address of the host, IP:port."`
+}
+
+func (c *addCmd) Run(e *env) error {
+	return changeMember(e, api.ControlMemberChangeActionAdd, c.Name, c.Address)
+}
+
+type promoteCmd struct {
+	Name string `arg:"" help:"Name of the learner."`
+}
+
+func (c *promoteCmd) Run(e *env) error {
+	return changeMember(e, api.ControlMemberChangeActionPromote, c.Name, "")
+}
+
+type removeCmd struct {
+	Name string `arg:"" help:"Name of the member."`
+}
+
+func (c *removeCmd) Run(e *env) error {
+	return changeMember(e, api.ControlMemberChangeActionRemove, c.Name, "")
+}
+
+type snapshotCmd struct {
+	File string `arg:"" help:"File to write; it must not exist."`
+}
+
+func (c *snapshotCmd) Run(e *env) error {
+	client, ctx, cancel, err := e.client()
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	body, err := client.GetSnapshot(ctx)
+	if err != nil {
+		return err
+	}
+	data, err := io.ReadAll(body)
+	if err != nil {
+		return fault.New(fault.Unavailable, "try again", "read backup: %w", err)
+	}
+	s, err := wal.DecodeBackup(c.File, data)
+	if err != nil {
+		return err
+	}
+	if err := writeNew(c.File, data); err != nil {
+		return err
+	}
+	return e.print(map[string]any{"file": c.File, "revision": s.Index, "bytes": len(data)}, "FILE\tREVISION\tBYTES", [][]any{{c.File, s.Index, len(data)}})
+}
+
+// writeNew writes a file that does not exist yet, and syncs it.
+func writeNew(name string, data []byte) error {
+	f, err := os.OpenFile(name, os.O_WRONLY|os.O_CREATE|os.O_EXCL, backupMode)
+	if err != nil {
+		return fault.New(fault.Invalid, "name a file that does not exist", "write backup: %w", err)
+	}
+	_, err = f.Write(data)
+	if err == nil {
+		err = f.Sync()
+	}
+	if closed := f.Close(); err == nil {
+		err = closed
+	}
+	if err != nil {
+		return fault.New(fault.Unavailable, "free space on the disk", "write backup: %w", err)
+	}
+	return nil
+}
+
+type restoreCmd struct {
+	File string `arg:"" help:"Backup file." type:"existingfile"`
+	Data string `help:"Empty data folder of the host that starts the restored log." required:"" type:"path"`
+	Name string `help:"Name of that host." required:""`
+	RPC  string `help:"RPC address of that host, IP:port." required:"" name:"rpc"`
+}
+
+func (c *restoreCmd) Run(e *env) error {
+	data, err := os.ReadFile(c.File)
+	if err != nil {
+		return fault.New(fault.Invalid, "check the file", "read backup: %w", err)
+	}
+	disk, err := wal.OpenFolder(c.Data)
+	if err != nil {
+		return err
+	}
+	revision, err := control.Restore(disk, c.Name, c.RPC, data, randomUint64)
+	if err != nil {
+		return err
+	}
+	return e.print(map[string]any{"data": c.Data, "revision": revision}, "DATA\tREVISION", [][]any{{c.Data, revision}})
+}
+
+func randomUint64() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:]) // never fails
+	return binary.LittleEndian.Uint64(b[:])
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -41,6 +41,7 @@
 	Requests  string            `json:"requests"`  // TCP IP:port for HTTP requests of callers
 	Listeners map[string]string `json:"listeners"` // TCP IP:port for plain connections, by service
 	Control   []Peer            `json:"control"`   // the control hosts
+	Bootstrap bool              `json:"bootstrap"` // the first control host starts a new log with all of them
 	Seeds     []string          `json:"seeds"`     // gossip addresses of hosts to join through
 	TLS       access.Files      `json:"tls"`       // certificates for RPC (mutual) and API; empty is plain
 	Tokens    string            `json:"tokens"`    // file of API tokens; empty lets everyone in
--- /dev/null
+++ b/internal/control/backup.go
@@ -0,0 +1,40 @@
+package control
+
+import (
+	"greengagequay/internal/fault"
+	"greengagequay/internal/raft"
+	"greengagequay/internal/state"
+	"greengagequay/internal/wal"
+)
+
+// restoreGap is added to the revision of a restored state. It is larger than
+// any number of revisions that were given out after the backup, so that hosts
+// which still hold one of those take the restored state.
+const restoreGap = 1 << 32
+
+func encodeBackup(s raft.Snapshot) []byte { return wal.EncodeBackup(s) }
+
+// Restore fills an empty data folder from a backup file. The host that starts
+// on it is the only voter of a new log. It returns the restored revision.
+func Restore(d wal.Disk, name, addr string, backup []byte, random func() uint64) (uint64, error) {
+	s, err := wal.DecodeBackup("of the backup", backup)
+	if err != nil {
+		return 0, err
+	}
+	st, err := state.Restore(s.Data)
+	if err != nil {
+		return 0, err
+	}
+	if st.Revision != s.Index {
+		return 0, fault.New(fault.Corrupt, "use another backup", "the backup is of revision %d, but its state of revision %d", s.Index, st.Revision)
+	}
+	st.Revision += restoreGap
+	data, err := st.Snapshot()
+	if err != nil {
+		return 0, err
+	}
+	id := raft.ID(random() | 1)
+	self := raft.Member{ID: id, Name: name, Addr: addr, Voter: true}
+	restored := raft.Snapshot{Index: st.Revision, Term: 1, Membership: raft.Membership{Members: []raft.Member{self}}, Data: data}
+	return st.Revision, wal.Restore(d, id, restored)
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -1,91 +1,101 @@
 // Package control is the control host's role: it commits changes of settings
-// and placements to the log.
+// and placements to the replicated log and applies them to the replica.
 package control
 
 import (
 	"context"
-	"fmt"
-	"os"
-	"path/filepath"
-	"sync"
+	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
-	"greengagequay/internal/fault"
-	"greengagequay/internal/replica"
+	"greengagequay/internal/raft"
 	"greengagequay/internal/state"
 )
 
 // Log commits commands.
 type Log interface {
-	// Propose commits a command and returns its result once it is durable
-	// and applied.
+	// Propose commits a command and returns its result once it is durable on a
+	// quorum and applied. A command without an answer may be proposed again.
 	Propose(ctx context.Context, c state.Command) (state.Result, error)
 	// Leader returns the RPC address of the host that commits, and whether
 	// it is this one. The address is empty while none is known.
 	Leader() (addr string, self bool)
 }
 
-// FileLog is a log on one control host: a file of entries, synced before an
-// entry counts.
-type FileLog struct {
-	mu      sync.Mutex
-	file    *os.File
-	enc     *cbor.Encoder
-	replica *replica.Replica
-	self    string
+// Times of the replicated log.
+const (
+	electionTimeout   = time.Second // shortest silence of the leader before an election
+	heartbeatInterval = 200 * time.Millisecond
+	tickInterval      = 25 * time.Millisecond
+	proposeTimeout    = 5 * time.Second // for callers that set no deadline
+	retryPause        = 50 * time.Millisecond
+	diskRetryInterval = time.Second
+	foundingPause     = 200 * time.Millisecond
+)
+
+// Limits of the log on disk and in memory.
+const (
+	snapshotEntries = 8192     // entries between two snapshots
+	snapshotBytes   = 16 << 20 // bytes of commands between two snapshots
+	keptEntries     = 2048     // entries kept behind a snapshot for followers that lag
+)
+
+// Action is a change of the members of the log.
+type Action string
+
+// The actions.
+const (
+	Add     Action = "add"     // adds a learner
+	Promote Action = "promote" // makes a learner a voter
+	Remove  Action = "remove"
+)
+
+// MemberChange changes one member of the log.
+type MemberChange struct {
+	Action Action
+	Name   string
+	Addr   string // RPC address, for Add
+}
+
+// MemberStatus describes one member of the log.
+type MemberStatus struct {
+	raft.Member
+	Leader  bool
+	Matched uint64 // last entry on its disk, as far as the leader knows
 }
 
-// OpenFileLog opens the log in the folder and applies its entries to the
-// replica. self is the host's own RPC address.
-func OpenFileLog(folder, self string, r *replica.Replica) (*FileLog, error) {
-	if err := os.MkdirAll(folder, 0o700); err != nil {
-		return nil, fmt.Errorf("create data folder: %w", err)
-	}
-	path := filepath.Join(folder, "log")
-	file, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE, 0o600)
-	if err != nil {
-		return nil, fmt.Errorf("open log: %w", err)
-	}
-	dec := cbor.NewDecoder(file)
-	for {
-		var e replica.Entry
-		if dec.Decode(&e) != nil {
-			break
-		}
-		if _, err := r.Apply(e); err != nil {
-			return nil, fmt.Errorf("apply log %s: %w", path, err)
-		}
-	}
-	if err := file.Truncate(int64(dec.NumBytesRead())); err != nil {
-		return nil, fmt.Errorf("cut log: %w", err)
-	}
-	if _, err := file.Seek(0, 2); err != nil {
-		return nil, fmt.Errorf("seek log: %w", err)
-	}
-	return &FileLog{file: file, enc: cbor.NewEncoder(file), replica: r, self: self}, nil
+// Status tells how current this host is.
+type Status struct {
+	Leader  string        // RPC address, empty if none is known
+	Current bool          // a quorum was in contact within the election timeout
+	Age     time.Duration // since a quorum was last in contact
+	Member  bool          // has a part in the log
+	Failed  error         // why this host accepts nothing, or nil
 }
 
-// Propose commits a command.
-func (l *FileLog) Propose(_ context.Context, c state.Command) (state.Result, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	data, err := state.Encode(c)
-	if err != nil {
-		return state.Result{}, err
-	}
-	e := replica.Entry{Revision: l.replica.Revision() + 1, Data: data}
-	if err := l.enc.Encode(e); err != nil {
-		return state.Result{}, fault.New(fault.Unavailable, "check the disk", "write log: %w", err)
-	}
-	if err := l.file.Sync(); err != nil {
-		return state.Result{}, fault.New(fault.Unavailable, "check the disk", "sync log: %w", err)
-	}
-	return l.replica.Apply(e)
+// Identity is what a host tells about its data folder.
+type Identity struct {
+	ID    raft.ID
+	Name  string
+	Blank bool // it has no part in any log yet
 }
 
-// Leader returns this host.
-func (l *FileLog) Leader() (string, bool) { return l.self, true }
+// Envelope carries messages with the address to which answers go.
+type Envelope struct {
+	Addr     string // RPC address of the sender
+	Messages []raft.Message
+}
 
-// Close closes the file.
-func (l *FileLog) Close() error { return l.file.Close() }
+// Transport carries messages and calls to other control hosts.
+type Transport interface {
+	// Send sends messages, which may be lost. It does not block.
+	Send(addr string, e Envelope)
+	// Propose commits an encoded command on the host at addr, if it leads.
+	Propose(ctx context.Context, addr string, data []byte) (state.Result, error)
+	// ReadIndex returns the index up to which a current state is applied.
+	ReadIndex(ctx context.Context, addr string) (uint64, error)
+	// Identity asks a host for its identity.
+	Identity(ctx context.Context, addr string) (Identity, error)
+	// ChangeMember changes a member on the host at addr, if it leads.
+	ChangeMember(ctx context.Context, addr string, c MemberChange) (uint64, error)
+	// Members asks a host for the members.
+	Members(ctx context.Context, addr string) ([]MemberStatus, error)
+}
--- /dev/null
+++ b/internal/control/rpc.go
@@ -0,0 +1,188 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"greengagequay/internal/rpc"
+	"greengagequay/internal/state"
+)
+
+// Times and sizes of calls between control hosts.
+const (
+	deliverTimeout  = time.Second
+	snapshotTimeout = 30 * time.Second
+	sendQueue       = 256 // envelopes that wait for one host
+)
+
+// Service answers calls from other control hosts over net/rpc. It is
+// registered under the name "Log".
+type Service struct{ Host *Host }
+
+// Deliver takes messages.
+func (s *Service) Deliver(e Envelope, _ *struct{}) error {
+	s.Host.Receive(e)
+	return nil
+}
+
+// Propose commits a command if this host leads.
+func (s *Service) Propose(data []byte, out *state.Result) error {
+	ctx, cancel := withLimit(context.Background())
+	defer cancel()
+	result, err := s.Host.ProposeHere(ctx, data)
+	*out = result
+	return rpc.EncodeError(err)
+}
+
+// ReadIndex returns the index from which a state is current.
+func (s *Service) ReadIndex(_ struct{}, out *uint64) error {
+	ctx, cancel := withLimit(context.Background())
+	defer cancel()
+	index, err := s.Host.ReadIndexHere(ctx)
+	*out = index
+	return rpc.EncodeError(err)
+}
+
+// Identity tells about the data folder.
+func (s *Service) Identity(_ struct{}, out *Identity) error {
+	*out = s.Host.Identity()
+	return nil
+}
+
+// ChangeMember changes a member if this host leads.
+func (s *Service) ChangeMember(c MemberChange, out *uint64) error {
+	ctx, cancel := withLimit(context.Background())
+	defer cancel()
+	revision, err := s.Host.ChangeMemberHere(ctx, c)
+	*out = revision
+	return rpc.EncodeError(err)
+}
+
+// ChangeAnyMember changes a member, here or on the leader.
+func (s *Service) ChangeAnyMember(c MemberChange, out *uint64) error {
+	revision, err := s.Host.ChangeMember(context.Background(), c)
+	*out = revision
+	return rpc.EncodeError(err)
+}
+
+// Members returns the members as this host knows them.
+func (s *Service) Members(_ struct{}, out *[]MemberStatus) error {
+	*out = s.Host.MembersHere()
+	return nil
+}
+
+// AllMembers returns the members as the leader knows them.
+func (s *Service) AllMembers(_ struct{}, out *[]MemberStatus) error {
+	ctx, cancel := withLimit(context.Background())
+	defer cancel()
+	*out = s.Host.Members(ctx)
+	return nil
+}
+
+// Backup returns a backup file.
+func (s *Service) Backup(_ struct{}, out *[]byte) error {
+	data, err := s.Host.Backup(context.Background())
+	*out = data
+	return rpc.EncodeError(err)
+}
+
+// RPCTransport is a Transport over net/rpc. Messages to one host keep their
+// order, since each call waits for the one before it.
+type RPCTransport struct {
+	client *rpc.Client
+	ctx    context.Context
+	cancel context.CancelFunc
+	mu     sync.Mutex
+	queues map[string]chan Envelope
+}
+
+// NewRPCTransport returns a transport that calls through the client.
+func NewRPCTransport(c *rpc.Client) *RPCTransport {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &RPCTransport{client: c, ctx: ctx, cancel: cancel, queues: map[string]chan Envelope{}}
+}
+
+// Close stops sending.
+func (t *RPCTransport) Close() { t.cancel() }
+
+// Send sends messages. They are lost when the host does not keep up.
+func (t *RPCTransport) Send(addr string, e Envelope) {
+	for _, m := range e.Messages {
+		if m.Snapshot != nil { // large: it must not hold up heartbeats
+			go t.deliver(addr, e, snapshotTimeout)
+			return
+		}
+	}
+	select {
+	case t.queue(addr) <- e:
+	default:
+	}
+}
+
+func (t *RPCTransport) queue(addr string) chan Envelope {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	q := t.queues[addr]
+	if q == nil {
+		q = make(chan Envelope, sendQueue)
+		t.queues[addr] = q
+		go t.drain(addr, q)
+	}
+	return q
+}
+
+func (t *RPCTransport) drain(addr string, q chan Envelope) {
+	for {
+		select {
+		case <-t.ctx.Done():
+			return
+		case e := <-q:
+			for waiting := len(q); waiting > 0; waiting-- {
+				e.Messages = append(e.Messages, (<-q).Messages...)
+			}
+			t.deliver(addr, e, deliverTimeout)
+		}
+	}
+}
+
+func (t *RPCTransport) deliver(addr string, e Envelope, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(t.ctx, limit)
+	defer cancel()
+	_ = t.client.Call(ctx, addr, "Log.Deliver", e, &struct{}{}) // lost messages are sent again by the core
+}
+
+// Propose commits a command on the host at addr.
+func (t *RPCTransport) Propose(ctx context.Context, addr string, data []byte) (state.Result, error) {
+	var result state.Result
+	err := t.client.Call(ctx, addr, "Log.Propose", data, &result)
+	return result, err
+}
+
+// ReadIndex asks the host at addr.
+func (t *RPCTransport) ReadIndex(ctx context.Context, addr string) (uint64, error) {
+	var index uint64
+	err := t.client.Call(ctx, addr, "Log.ReadIndex", struct{}{}, &index)
+	return index, err
+}
+
+// Identity asks the host at addr.
+func (t *RPCTransport) Identity(ctx context.Context, addr string) (Identity, error) {
+	var id Identity
+	err := t.client.Call(ctx, addr, "Log.Identity", struct{}{}, &id)
+	return id, err
+}
+
+// ChangeMember changes a member on the host at addr, if it leads.
+func (t *RPCTransport) ChangeMember(ctx context.Context, addr string, c MemberChange) (uint64, error) {
+	var revision uint64
+	err := t.client.Call(ctx, addr, "Log.ChangeMember", c, &revision)
+	return revision, err
+}
+
+// Members asks the host at addr.
+func (t *RPCTransport) Members(ctx context.Context, addr string) ([]MemberStatus, error) {
+	var list []MemberStatus
+	err := t.client.Call(ctx, addr, "Log.Members", struct{}{}, &list)
+	return list, err
+}
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -2,19 +2,24 @@
 
 import (
 	"context"
+	"crypto/rand"
+	"encoding/binary"
+	mathrand "math/rand/v2"
 
 	"greengagequay/internal/control"
 	"greengagequay/internal/model"
 	"greengagequay/internal/rpc"
 	"greengagequay/internal/state"
+	"greengagequay/internal/wal"
 )
 
 func (d *Daemon) startControl(ctx context.Context) error {
-	commits, err := control.OpenFileLog(d.Config.Data, d.Config.RPC, d.Replica)
-	if err != nil {
+	if err := d.openLog(); err != nil {
+		return err
+	}
+	if err := d.server.Register("Log", &control.Service{Host: d.commits}); err != nil {
 		return err
 	}
-	d.commits = commits
 	if err := d.server.Register("Control", &controlService{d: d}); err != nil {
 		return err
 	}
@@ -22,12 +27,52 @@
 	return nil
 }
 
+// openLog opens the data folder and takes part in the replicated log.
+func (d *Daemon) openLog() error {
+	disk, err := wal.OpenFolder(d.Config.Data)
+	if err != nil {
+		return err
+	}
+	var peers []control.Peer
+	for _, p := range d.Config.Control {
+		peers = append(peers, control.Peer{Name: p.Name, Addr: p.RPC})
+	}
+	d.transport = control.NewRPCTransport(d.client)
+	d.commits, err = control.Open(control.Options{
+		Name: d.Config.Name, Addr: d.Config.RPC, Peers: peers, Bootstrap: d.Config.Bootstrap,
+		Disk: disk, Replica: d.Replica, Transport: d.transport, Clock: d.clock, Log: d.logs.Part("control"),
+		Rand:   mathrand.New(mathrand.NewPCG(randomUint64(), randomUint64())),
+		Random: randomUint64,
+	})
+	return err
+}
+
+// closeLog ends the part in the replicated log.
+func (d *Daemon) closeLog() {
+	if d.commits == nil {
+		return
+	}
+	if err := d.commits.Close(); err != nil {
+		d.log.Warnf("%v", err)
+	}
+	d.transport.Close()
+}
+
+// randomUint64 returns a number that nobody can predict.
+func randomUint64() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:]) // never fails
+	return binary.LittleEndian.Uint64(b[:])
+}
+
 // controlService answers calls from other hosts.
 type controlService struct{ d *Daemon }
 
 // Submit commits a change of settings.
 func (s *controlService) Submit(c state.Change, out *state.Result) error {
-	result, err := s.d.commits.Propose(context.Background(), state.Command{Change: &c})
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	result, err := s.d.commits.Propose(ctx, state.Command{Change: &c})
 	*out = result
 	return rpc.EncodeError(err)
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -48,7 +48,8 @@
 	reports      flowReports
 	server       *rpc.Server
 	client       *rpc.Client
-	commits      *control.FileLog // nil unless a control host
+	commits      *control.Host // nil unless a control host
+	transport    *control.RPCTransport
 	api          *http.Server
 	requests     *http.Server
 	streams      []*entry.Stream
@@ -86,6 +87,7 @@
 	if err := d.start(ctx); err != nil {
 		cancel()
 		b.Close()
+		d.closeLog()
 		return nil, err
 	}
 	d.log.With("host", d.Config.Name).Infof("started in zone %s", d.Config.Zone)
@@ -131,7 +133,7 @@
 func (d *Daemon) startAPI() error {
 	handler := &apiserver.Server{
 		Name: d.Config.Name, Zone: d.Config.Zone, Replica: d.Replica,
-		Members: d.Members, Submit: d, Clock: d.clock,
+		Members: d.Members, Submit: d, Control: d, Clock: d.clock,
 	}
 	server, err := api.NewServer(handler)
 	if err != nil {
@@ -167,6 +169,9 @@
 	}
 	d.waitStreams(ctx)
 	d.leaveFlows(ctx)
+	if d.commits != nil {
+		d.commits.HandOver(ctx)
+	}
 	errs = append(errs, d.api.Shutdown(ctx))
 	d.Kill()
 	return errors.Join(errs...)
@@ -183,9 +188,7 @@
 	d.server.Close()
 	d.client.Close()
 	d.background.Wait()
-	if d.commits != nil {
-		_ = d.commits.Close()
-	}
+	d.closeLog()
 }
 
 // self describes this host to the others.
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -21,7 +21,7 @@
 func startOne(t *testing.T) *Daemon {
 	const anyPort = "127.0.0.1:0"
 	b, err := Bind(config.Config{
-		Name: "rvk-a-1", Zone: "rvk-a", Roles: []config.Role{config.Entry, config.Control}, Data: t.TempDir(),
+		Name: "rvk-a-1", Zone: "rvk-a", Roles: []config.Role{config.Entry, config.Control}, Data: t.TempDir(), Bootstrap: true,
 		RPC: anyPort, API: anyPort, Gossip: anyPort, Packets: anyPort, Relay: anyPort, Requests: anyPort,
 		Listeners: map[string]string{"pantanir": anyPort},
 		Log:       config.Log{Level: "warn", Format: "text"},
--- a/internal/daemon/follow.go
+++ b/internal/daemon/follow.go
@@ -49,7 +49,8 @@
 // current, or false if it never was.
 func (d *Daemon) stateAge(now time.Time) (time.Duration, bool) {
 	if d.commits != nil {
-		return 0, true
+		st := d.commits.Status()
+		return st.Age, st.Member
 	}
 	return d.freshness.Age(now)
 }
@@ -206,13 +207,23 @@
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		err = d.client.Call(callCtx, peer.RPC, "Control.Submit", c, &result)
 		cancel()
-		if err == nil || fault.KindOf(err) != fault.Unavailable {
+		if err == nil || !mayAskNext(err) {
 			return result, err
 		}
 	}
 	return result, err
 }
 
+// mayAskNext reports whether a change may be submitted through another control
+// host. Its id keeps it from taking effect twice.
+func mayAskNext(err error) bool {
+	switch fault.KindOf(err) {
+	case fault.Unavailable, fault.OutcomeUnknown, fault.NotCurrent:
+		return true
+	}
+	return false
+}
+
 // Leader returns the RPC address of the leading control host.
 func (d *Daemon) Leader() string {
 	if d.commits != nil {
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -29,8 +29,8 @@
 var hostSpecs = []hostSpec{
 	{"rvk-a-1", "rvk-a", true},
 	{"rvk-a-2", "rvk-a", false},
-	{"rvk-b-1", "rvk-b", false},
-	{"rvk-b-2", "rvk-b", false},
+	{"rvk-b-1", "rvk-b", true},
+	{"rvk-b-2", "rvk-b", true},
 }
 
 // serviceSpec describes one service of the demonstration.
@@ -106,6 +106,7 @@
 	if spec.control {
 		c.Roles = append(c.Roles, config.Control)
 		c.Data = filepath.Join(f.dir, spec.name)
+		c.Bootstrap = true
 	}
 	return c
 }
--- a/internal/raft/cluster_test.go
+++ b/internal/raft/cluster_test.go
@@ -199,7 +199,7 @@
 func (c *cluster) checkLeases() {
 	var holder ID
 	for _, id := range c.ids() {
-		if !c.nodes[id].Status(c.now).Lease {
+		if c.nodes[id].Status(c.now).LeaseLeft == 0 {
 			continue
 		}
 		if holder != 0 {
@@ -232,7 +232,7 @@
 	var found ID
 	c.run("a leader", func() bool {
 		for _, id := range c.ids() {
-			if c.nodes[id].Status(c.now).Lease {
+			if c.nodes[id].Status(c.now).LeaseLeft > 0 {
 				found = id
 			}
 		}
--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -1,5 +1,15 @@
 package raft
 
+import "time"
+
+// Campaign starts an election without waiting for a timeout.
+func (n *Node) Campaign(now time.Duration) {
+	n.now = max(n.now, now)
+	if n.role != Leader {
+		n.campaign(true, false)
+	}
+}
+
 // campaign starts an election. A pre-vote asks first whether an election could
 // be won, so that a member that was cut off does not disturb a working leader
 // by a higher term.
--- a/internal/raft/leader.go
+++ b/internal/raft/leader.go
@@ -94,12 +94,19 @@
 
 // holdsLease reports whether no other leader can have been elected by now: a
 // quorum has promised not to vote until the election timeout has passed.
-func (n *Node) holdsLease() bool {
+func (n *Node) holdsLease() bool { return n.leaseLeft() > 0 }
+
+// leaseLeft returns for how long the lease holds if no quorum answers again.
+func (n *Node) leaseLeft() time.Duration {
 	if n.role != Leader || n.leaseGivenUp {
-		return false
+		return 0
 	}
 	contact, ok := n.quorumAcked()
-	return ok && n.now-contact < n.cfg.ElectionTimeout-n.cfg.ElectionTimeout/leaseMargin
+	if !ok {
+		return 0
+	}
+	lease := n.cfg.ElectionTimeout - n.cfg.ElectionTimeout/leaseMargin
+	return max(0, contact+lease-n.now)
 }
 
 // ProposeMembership appends a change of one member. There is at most one
--- a/internal/raft/membership.go
+++ b/internal/raft/membership.go
@@ -68,7 +68,7 @@
 		return m, fault.New(fault.Conflict, "remove the member first; its disk was lost or replaced", "member %q has another identity", x.Name)
 	}
 	if _, ok := m.Find(x.ID); ok {
-		return m, fault.New(fault.Conflict, "see 'quayctl control members'", "member %q exists", x.Name)
+		return m, nil // repeated after a lost answer
 	}
 	x.Voter = false
 	return Membership{Members: append(slices.Clone(m.Members), x)}, nil
@@ -81,7 +81,7 @@
 	case !ok:
 		return m, notMember(name)
 	case x.Voter:
-		return m, fault.New(fault.Conflict, "see 'quayctl control members'", "member %q is a voter already", name)
+		return m, nil // repeated after a lost answer
 	case len(m.Voters()) >= MaxVoters:
 		return m, fault.New(fault.Invalid, "remove a voter first", "%d voters are the most there can be", MaxVoters)
 	}
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -222,3 +222,6 @@
 
 // Membership returns the membership of the latest entry.
 func (n *Node) Membership() Membership { return n.log.membership() }
+
+// Term returns the present term.
+func (n *Node) Term() uint64 { return n.term }
--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -48,7 +48,7 @@
 	lost, err := cl.nodes[old].Propose([]byte("lost"))
 	c.Assert(err, qt.IsNil)
 	c.Assert(cl.nodes[old].Read(cl.now, 1), qt.IsNil) // holds its lease still
-	cl.run("end of the lease", func() bool { return !cl.nodes[old].Status(cl.now).Lease })
+	cl.run("end of the lease", func() bool { return cl.nodes[old].Status(cl.now).LeaseLeft == 0 })
 	c.Assert(cl.nodes[old].role, qt.Equals, Leader) // silent: it still believes that it leads
 	c.Assert(cl.nodes[old].Read(cl.now, 2), qt.IsNil)
 	cl.drain(old)
@@ -154,7 +154,7 @@
 	old := cl.leader()
 	cl.propose("x")
 	c.Assert(cl.nodes[old].Transfer(), qt.IsTrue)
-	c.Assert(cl.nodes[old].Status(cl.now).Lease, qt.IsFalse)
+	c.Assert(cl.nodes[old].Status(cl.now).LeaseLeft, qt.Equals, time.Duration(0))
 	cl.drain(old)
 	start := cl.now
 	cl.run("another leader", func() bool { return cl.nodes[old].role == Follower && cl.leader() != old })
--- a/internal/raft/ready.go
+++ b/internal/raft/ready.go
@@ -80,7 +80,7 @@
 	Last       uint64
 	Current    bool          // a quorum was in contact within the election timeout
 	ContactAge time.Duration // since a quorum was last in contact, directly or through the leader
-	Lease      bool          // leads, and no other member can lead
+	LeaseLeft  time.Duration // for which no other member can lead, 0 unless this one does
 	Match      map[ID]uint64 // on the leader, the last entry on each member's disk
 }
 
@@ -91,7 +91,7 @@
 	s := Status{
 		ID: n.cfg.ID, Role: n.role, Term: n.term, Leader: n.leader,
 		Commit: n.log.commit, Applied: n.log.applied, Last: n.log.last(),
-		ContactAge: age, Current: n.leader != 0 && age < n.cfg.ElectionTimeout, Lease: n.holdsLease(),
+		ContactAge: age, Current: n.leader != 0 && age < n.cfg.ElectionTimeout, LeaseLeft: n.leaseLeft(),
 	}
 	if n.role == Leader {
 		s.Match = map[ID]uint64{}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -35,6 +35,7 @@
 type Command struct {
 	Change    *Change
 	Placement *table.Delta
+	Seed      uint64 // sets the seed of the flow hash, if it has none yet
 }
 
 // Result is the answer to a command.
@@ -85,6 +86,8 @@
 func (s *State) Apply(revision uint64, c Command) Result {
 	s.Revision = revision
 	switch {
+	case c.Seed != 0 && s.Seed == 0:
+		s.Seed = c.Seed
 	case c.Change != nil:
 		return s.applyChange(revision, *c.Change)
 	case c.Placement != nil:
