Move fleet and callers to an emulator package and lose hosts on real sockets

Cause: what the demo drives could not be used by tests or a load tool, and no test lost a real process. Change: internal/emulator starts hosts and stand-in backend servers, kills and revives hosts, and drives flows; the demo and four tests use it: rolling restart of all hosts during a drain, loss of a host and of another right after, loss of a backend server, accepted changes while each control host is lost in turn.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -80,9 +80,9 @@
 }
 
 func printError(w io.Writer, err error) {
-	f := fault.From(explain(err))
+	f := fault.From(apiclient.Explain(err))
 	fmt.Fprintf(w, "quayctl: %s\n", f.Message)
-	for _, c := range changedSince(err) {
+	for _, c := range apiclient.ChangedSince(err) {
 		for _, op := range c.Ops {
 			fmt.Fprintf(w, "changed at revision %d by %s: %s %s %s %s\n", c.Revision, c.Author, op.Action, op.Path, op.Key, op.Value.Value)
 		}
--- a/internal/demo/steps.go
+++ b/internal/demo/steps.go
@@ -32,8 +32,8 @@
 func (r *run) openStreams(ctx context.Context) error {
 	var dialer net.Dialer
 	for i := range plainConnections {
-		host := r.fleet.host(i % (len(hostSpecs) - 1))
-		conn, err := dialer.DialContext(ctx, "tcp", host.Config.Listeners[serviceSpecs[0].name])
+		host := r.fleet.Host(i % (len(hosts) - 1))
+		conn, err := dialer.DialContext(ctx, "tcp", host.Config.Listeners[services[0].Name])
 		if err != nil {
 			return fmt.Errorf("open connection: %w", err)
 		}
@@ -66,10 +66,10 @@
 		return ctx.Err()
 	case <-time.After(drainGrace):
 	}
-	drained := r.fleet.backends[0].Packets
+	drained := r.fleet.Backends[0].Packets
 	before := drained.Counts().Opened
-	r.callers.open(0, r.Flows/2)
-	if err := r.waitFor(ctx, r.callers.quiet); err != nil {
+	r.callers.Open(services[0].Address, r.Flows/2)
+	if err := r.callers.Settle(ctx); err != nil {
 		return err
 	}
 	r.report.FlowsToDraining = drained.Counts().Opened - before
@@ -81,8 +81,8 @@
 	for i := range keyedRequests {
 		key := fmt.Sprintf("order-%d", i)
 		for attempt := range 2 {
-			host := r.fleet.host((i + attempt) % len(hostSpecs))
-			if err := r.sendRequest(ctx, sent{service: serviceSpecs[0].name, addr: host.Config.Requests, size: i, key: key}); err != nil {
+			host := r.fleet.Host((i + attempt) % len(hosts))
+			if err := r.sendRequest(ctx, sent{service: services[0].Name, addr: host.Config.Requests, size: i, key: key}); err != nil {
 				return err
 			}
 		}
@@ -92,7 +92,7 @@
 
 func (r *run) keysRunTwice() int {
 	runs := map[string]int{}
-	for _, b := range r.fleet.backends {
+	for _, b := range r.fleet.Backends {
 		byKey, _ := b.HTTP.Runs()
 		for key, n := range byKey {
 			runs[key] += n
@@ -109,13 +109,13 @@
 
 // rest measures the control traffic of a system that nobody disturbs.
 func (r *run) rest(ctx context.Context) error {
-	before := r.fleet.controlBytes()
+	before := r.fleet.ControlBytes()
 	select {
 	case <-ctx.Done():
 		return ctx.Err()
 	case <-time.After(restTime):
 	}
-	bytes := float64(r.fleet.controlBytes() - before)
-	r.report.ControlBytesPerHostS = bytes / restTime.Seconds() / float64(len(hostSpecs))
+	bytes := float64(r.fleet.ControlBytes() - before)
+	r.report.ControlBytesPerHostS = bytes / restTime.Seconds() / float64(len(hosts))
 	return nil
 }
