control: histories under faults, checked against a naive single copy

Ruled out: taking the lease back in the same term, since the request to campaign may still arrive. Now the leader starts a new term of its own (TestFailedTransferEndsInALease).

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -23,7 +23,7 @@
 // Times of the replicated log.
 const (
 	electionTimeout   = time.Second // shortest silence of the leader before an election
-	heartbeatInterval = 200 * time.Millisecond
+	heartbeatInterval = 250 * time.Millisecond
 	tickInterval      = 25 * time.Millisecond
 	proposeTimeout    = 5 * time.Second // for callers that set no deadline
 	retryPause        = 50 * time.Millisecond
--- a/internal/control/engine.go
+++ b/internal/control/engine.go
@@ -21,19 +21,21 @@
 	send    func(addr string, messages []raft.Message)
 	seed    func() uint64 // random source of the flow hash's seed
 
-	hard       raft.HardState
-	addrs      map[raft.ID]string // of members that sent something
-	proposals  map[uint64]proposal
-	reads      map[uint64]func(uint64, error)
-	lastRead   uint64
-	seededTerm uint64
-	sinceSnap  int // entries since the last snapshot
-	sinceBytes int
-	stuck      *raft.Ready // batch that the disk refused
-	stuckErr   error
-	stuckRetry time.Duration
-	failed     error // this host takes no part any more
-	leading    bool
+	hard        raft.HardState
+	addrs       map[raft.ID]string // of members that sent something
+	proposals   map[uint64]proposal
+	reads       map[uint64]func(uint64, error)
+	lastRead    uint64
+	seededTerm  uint64
+	sinceSnap   int // entries since the last snapshot
+	sinceBytes  int
+	stuck       *raft.Ready // batch that the disk refused
+	stuckErr    error
+	stuckRetry  time.Duration
+	failed      error // this host takes no part any more
+	leading     bool
+	snapEntries int    // entries between two snapshots
+	keep        uint64 // entries kept behind a snapshot
 }
 
 // proposal waits for its entry.
@@ -47,6 +49,7 @@
 	cfg.ID = stored.ID
 	e := &engine{
 		cfg: cfg, log: log, replica: r, hard: stored.Restored.HardState,
+		snapEntries: snapshotEntries, keep: keptEntries,
 		addrs: map[raft.ID]string{}, proposals: map[uint64]proposal{}, reads: map[uint64]func(uint64, error){},
 	}
 	if s := stored.Restored.Snapshot; s != nil {
--- /dev/null
+++ b/internal/control/linear_test.go
@@ -0,0 +1,257 @@
+package control
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"greengagequay/internal/fault"
+	"greengagequay/internal/state"
+)
+
+var seeds = flag.Int("seeds", 12, "number of seeds of the random histories")
+
+// What operators do.
+const (
+	opWrite = iota // on any revision
+	opSwap         // on the revision that was read last
+	opRead
+)
+
+type opInput struct {
+	kind, value int
+	base        uint64
+}
+
+type opOutput struct {
+	value    int
+	revision uint64
+	conflict bool
+}
+
+// naiveCopy is the single copy of the setting to which every history must be
+// equal.
+type naiveCopy struct {
+	value    int
+	revision uint64
+}
+
+var naive = porcupine.Model{
+	Init: func() any { return naiveCopy{value: 8} },
+	Step: func(st, in, out any) (bool, any) {
+		now, i, o := st.(naiveCopy), in.(opInput), out.(opOutput)
+		switch {
+		case i.kind == opRead:
+			return o.value == now.value && o.revision == now.revision, now
+		case o.conflict:
+			return i.base != now.revision, now
+		case i.kind == opSwap && i.base != now.revision:
+			return false, now
+		}
+		return o.revision > now.revision, naiveCopy{i.value, o.revision}
+	},
+}
+
+// operator has one operation at a time and sends it again, through any control
+// host, until it has the answer.
+type operator struct {
+	s       *sim
+	id      int
+	count   int
+	input   opInput
+	call    time.Duration
+	sent    time.Duration
+	pending bool
+	known   uint64 // settings revision read last
+	history *[]porcupine.Operation
+}
+
+func (o *operator) step() {
+	const resendAfter = 700 * time.Millisecond
+	switch {
+	case !o.pending:
+		o.count++
+		o.input = opInput{kind: o.s.rand.IntN(3), value: 100*o.count + o.id, base: o.known}
+		o.call, o.pending = o.s.now, true
+		o.send()
+	case o.s.now-o.sent > resendAfter:
+		o.send()
+	}
+}
+
+// send sends the operation through a random host, which passes it on to the
+// leader it knows.
+func (o *operator) send() {
+	o.sent = o.s.now
+	via := o.s.hosts[o.s.rand.IntN(len(o.s.hosts))]
+	if via.engine == nil || via.engine.blocked() != nil {
+		return
+	}
+	st := via.engine.node.Status(o.s.now)
+	m, _ := via.engine.node.Membership().Find(st.Leader)
+	leader := o.s.host(m.Addr)
+	if leader == nil || leader != via && !o.s.reach(via, leader) {
+		return
+	}
+	if o.input.kind == opRead {
+		o.read(via, leader)
+		return
+	}
+	o.change(leader)
+}
+
+func (o *operator) change(leader *simHost) {
+	id := fmt.Sprintf("%d-%d", o.id, o.count)
+	c := write(id, o.input.value)
+	if o.input.kind == opSwap {
+		c = writeOn(o.input.base, id, o.input.value)
+	}
+	data, err := state.Encode(c)
+	if err != nil {
+		o.s.tb.Fatal(err)
+	}
+	count := o.count
+	leader.engine.propose(data, func(r state.Result, err error) {
+		lost := o.s.faulty && o.s.rand.IntN(5) == 0
+		if err != nil || lost || count != o.count {
+			return // the operator sends it again
+		}
+		conflict := r.Err != nil && r.Err.Kind == fault.Conflict
+		if r.Err != nil && !conflict {
+			o.s.tb.Fatal(r.Err)
+		}
+		o.done(opOutput{revision: r.Revision, conflict: conflict})
+	})
+	leader.engine.process(o.s.now)
+}
+
+func (o *operator) read(via, leader *simHost) {
+	count := o.count
+	leader.engine.read(o.s.now, func(index uint64, err error) {
+		if err != nil || count != o.count || via.replica.Revision() < index {
+			return
+		}
+		value, revision := via.value()
+		o.known = revision
+		o.done(opOutput{value: value, revision: revision})
+	})
+	leader.engine.process(o.s.now)
+}
+
+func (o *operator) done(out opOutput) {
+	if !o.pending {
+		return
+	}
+	o.pending = false
+	*o.history = append(*o.history, porcupine.Operation{
+		ClientId: o.id, Input: o.input, Output: out, Call: int64(o.call), Return: int64(o.s.now),
+	})
+}
+
+// Random operations under crashes, cuts, loss, delay, duplicates, full disks
+// and hand-overs have to look like operations on one naive copy.
+func TestHistoriesAreLinearizable(t *testing.T) {
+	for seed := range uint64(*seeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			history := randomHistory(t, seed)
+			if len(history) < 100 {
+				t.Fatalf("only %d operations had an answer", len(history))
+			}
+			if porcupine.CheckOperationsTimeout(naive, history, 20*time.Second) != porcupine.Ok {
+				t.Fatal("the history is not linearizable")
+			}
+		})
+	}
+}
+
+func randomHistory(t *testing.T, seed uint64) []porcupine.Operation {
+	s := newSim(t, seed)
+	s.faulty = true
+	var history []porcupine.Operation
+	var operators []*operator
+	for i := range 4 {
+		operators = append(operators, &operator{s: s, id: i, history: &history})
+	}
+	for i := range 6000 {
+		if i%60 == 0 {
+			s.disturb()
+		}
+		s.step()
+		for _, o := range operators {
+			o.step()
+		}
+	}
+	s.mend()
+	s.until("all answers", func() bool {
+		open := false
+		for _, o := range operators {
+			if o.pending {
+				o.step()
+				open = true
+			}
+		}
+		return !open
+	})
+	s.agree()
+	return history
+}
+
+// disturb makes or mends one fault.
+func (s *sim) disturb() {
+	h := s.hosts[s.rand.IntN(len(s.hosts))]
+	switch s.rand.IntN(8) {
+	case 0:
+		if h.engine != nil {
+			s.crash(h)
+		}
+	case 1:
+		h.side = 1
+	case 2:
+		h.disk.full = true
+	case 3:
+		if h.engine != nil {
+			h.engine.node.Transfer()
+		}
+	default:
+		s.mend()
+		s.faulty = true
+	}
+}
+
+// mend ends all faults.
+func (s *sim) mend() {
+	s.faulty = false
+	for _, h := range s.hosts {
+		h.side, h.disk.full = 0, false
+		if h.engine == nil || h.engine.failed != nil {
+			h.disk.crash()
+			s.start(h)
+		}
+	}
+}
+
+// agree waits until all hosts hold the same state.
+func (s *sim) agree() {
+	s.tb.Helper()
+	s.everywhere(s.accept("last", 7))
+	want, revision := s.hosts[0].value()
+	for _, h := range s.hosts {
+		if value, r := h.value(); value != want || r != revision {
+			s.tb.Fatalf("host %s holds %d at %d, not %d at %d", h.name, value, r, want, revision)
+		}
+	}
+}
+
+// The checker must notice a lease that does not end.
+func TestCheckerNoticesStaleReads(t *testing.T) {
+	history := []porcupine.Operation{
+		{ClientId: 0, Input: opInput{kind: opWrite, value: 5}, Output: opOutput{revision: 3}, Call: 1, Return: 2},
+		{ClientId: 1, Input: opInput{kind: opRead}, Output: opOutput{value: 8}, Call: 3, Return: 4},
+	}
+	if porcupine.CheckOperations(naive, history) {
+		t.Fatal("a stale read was taken for a current one")
+	}
+}
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -147,7 +147,7 @@
 
 // compact makes a snapshot once the log has grown enough.
 func (e *engine) compact() {
-	if e.sinceSnap < snapshotEntries && e.sinceBytes < snapshotBytes {
+	if e.sinceSnap < e.snapEntries && e.sinceBytes < snapshotBytes {
 		return
 	}
 	var data []byte
@@ -158,7 +158,7 @@
 		return
 	}
 	e.sinceSnap, e.sinceBytes = 0, 0
-	s, err := e.node.Compact(data, keptEntries)
+	s, err := e.node.Compact(data, e.keep)
 	if err != nil {
 		return // nothing to compact
 	}
--- /dev/null
+++ b/internal/control/sim_test.go
@@ -0,0 +1,324 @@
+package control
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"io/fs"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"syscall"
+	"testing"
+	"time"
+
+	"greengagequay/internal/raft"
+	"greengagequay/internal/replica"
+	"greengagequay/internal/settings"
+	"greengagequay/internal/state"
+	"greengagequay/internal/wal"
+)
+
+// memDisk is a data folder that loses what was not synced.
+type memDisk struct {
+	files map[string]*memFile
+	full  bool
+}
+
+type memFile struct {
+	d            *memDisk
+	data, synced []byte
+}
+
+func (d *memDisk) Open(name string) (wal.File, error) {
+	if d.files[name] == nil {
+		d.files[name] = &memFile{d: d}
+	}
+	return d.files[name], nil
+}
+
+func (d *memDisk) ReadFile(name string) ([]byte, error) {
+	if f := d.files[name]; f != nil {
+		return slices.Clone(f.data), nil
+	}
+	return nil, fs.ErrNotExist
+}
+
+func (d *memDisk) List() ([]string, error) { return slices.Sorted(maps.Keys(d.files)), nil }
+func (d *memDisk) Remove(name string) error {
+	delete(d.files, name)
+	return nil
+}
+
+func (d *memDisk) Rename(from, to string) error {
+	d.files[to] = d.files[from]
+	return d.Remove(from)
+}
+
+func (d *memDisk) SyncDir() error           { return nil }
+func (d *memDisk) Lock() (io.Closer, error) { return io.NopCloser(&bytes.Buffer{}), nil }
+func (d *memDisk) Path(name string) string  { return name }
+
+func (d *memDisk) crash() {
+	for _, f := range d.files {
+		f.data = slices.Clone(f.synced)
+	}
+}
+
+func (f *memFile) Write(p []byte) (int, error) {
+	if f.d.full {
+		return 0, syscall.ENOSPC
+	}
+	f.data = append(slices.Clone(f.data), p...)
+	return len(p), nil
+}
+
+func (f *memFile) Sync() error {
+	f.synced = slices.Clone(f.data)
+	return nil
+}
+
+func (f *memFile) Truncate(size int64) error {
+	f.data = slices.Clone(f.data[:size])
+	return nil
+}
+
+func (f *memFile) Close() error { return nil }
+
+// simHost is one control host. Its name is its address.
+type simHost struct {
+	name    string
+	disk    *memDisk
+	engine  *engine // nil while it is down
+	replica *replica.Replica
+	side    int
+}
+
+type simMessage struct {
+	at       time.Duration
+	from, to string
+	envelope Envelope
+}
+
+// sim runs control hosts in fake time.
+type sim struct {
+	tb     testing.TB
+	rand   *rand.Rand
+	now    time.Duration
+	hosts  []*simHost
+	net    []simMessage
+	faulty bool // the network loses, delays and duplicates
+}
+
+const simStep = 10 * time.Millisecond
+
+// newSim founds a log on three hosts.
+func newSim(tb testing.TB, seed uint64) *sim {
+	s := &sim{tb: tb, rand: rand.New(rand.NewPCG(seed, 2))}
+	var members []raft.Member
+	for _, name := range []string{"a", "b", "c"} {
+		h := &simHost{name: name, disk: &memDisk{files: map[string]*memFile{}}}
+		s.hosts = append(s.hosts, h)
+		s.start(h)
+		members = append(members, raft.Member{ID: h.engine.cfg.ID, Name: name, Addr: name, Voter: true})
+	}
+	if err := s.hosts[0].engine.found(s.now, members); err != nil {
+		tb.Fatal(err)
+	}
+	return s
+}
+
+func (s *sim) start(h *simHost) {
+	log, stored, err := wal.Open(h.disk, func() raft.ID { return raft.ID(s.rand.Uint64()) })
+	if err != nil {
+		s.tb.Fatal(err)
+	}
+	h.replica = replica.New()
+	cfg := raft.Config{ElectionTimeout: electionTimeout, HeartbeatInterval: heartbeatInterval, Rand: s.rand}
+	h.engine, err = newEngine(cfg, stored, log, h.replica, s.now)
+	if err != nil {
+		s.tb.Fatal(err)
+	}
+	h.engine.seed = s.rand.Uint64
+	h.engine.snapEntries, h.engine.keep = 40, 5
+	h.engine.send = func(addr string, m []raft.Message) { s.send(h.name, addr, Envelope{Addr: h.name, Messages: m}) }
+}
+
+func (s *sim) crash(h *simHost) {
+	h.engine = nil
+	h.disk.crash()
+}
+
+func (s *sim) wipe(h *simHost) {
+	h.engine = nil
+	h.disk = &memDisk{files: map[string]*memFile{}}
+	s.start(h)
+}
+
+func (s *sim) send(from, to string, e Envelope) {
+	copies := 1
+	if s.faulty {
+		copies = []int{0, 1, 1, 1, 1, 1, 1, 1, 1, 2}[s.rand.IntN(10)]
+	}
+	for range copies {
+		delay := time.Millisecond
+		if s.faulty {
+			delay = time.Duration(s.rand.Int64N(int64(5 * simStep)))
+		}
+		s.net = append(s.net, simMessage{s.now + delay, from, to, e})
+	}
+}
+
+func (s *sim) host(name string) *simHost {
+	for _, h := range s.hosts {
+		if h.name == name {
+			return h
+		}
+	}
+	return nil
+}
+
+func (s *sim) reach(a, b *simHost) bool {
+	return a != nil && b != nil && a.engine != nil && b.engine != nil && a.side == b.side
+}
+
+func (s *sim) step() {
+	s.now += simStep
+	due := s.net
+	s.net = nil
+	for _, m := range due {
+		to := s.host(m.to)
+		if m.at > s.now {
+			s.net = append(s.net, m)
+		} else if s.reach(s.host(m.from), to) {
+			to.engine.receive(s.now, m.envelope)
+			to.engine.process(s.now)
+		}
+	}
+	for _, h := range s.hosts {
+		if h.engine != nil {
+			h.engine.tick(s.now)
+			h.engine.process(s.now)
+		}
+	}
+}
+
+// until steps until the condition holds.
+func (s *sim) until(what string, holds func() bool) {
+	s.tb.Helper()
+	for range 6000 {
+		if holds() {
+			return
+		}
+		s.step()
+	}
+	s.tb.Fatalf("never: %s", what)
+}
+
+func (s *sim) wait(d time.Duration) {
+	for end := s.now + d; s.now < end; {
+		s.step()
+	}
+}
+
+// leader returns the host that holds the lease.
+func (s *sim) leader() *simHost {
+	s.tb.Helper()
+	var found *simHost
+	s.until("a leader", func() bool {
+		for _, h := range s.hosts {
+			if h.engine != nil && h.engine.failed == nil && h.engine.node.Status(s.now).LeaseLeft > 0 {
+				found = h
+			}
+		}
+		return found != nil
+	})
+	return found
+}
+
+// others returns the running hosts but h.
+func (s *sim) others(h *simHost) []*simHost {
+	return slices.DeleteFunc(slices.Clone(s.hosts), func(x *simHost) bool { return x == h })
+}
+
+// submit proposes once and returns where the answer will be.
+func (s *sim) submit(h *simHost, c state.Command) *outcome {
+	data, err := state.Encode(c)
+	if err != nil {
+		s.tb.Fatal(err)
+	}
+	o := &outcome{}
+	h.engine.propose(data, func(r state.Result, err error) {
+		if r.Revision != 0 || r.Err != nil || err != nil {
+			*o = outcome{r, err}
+		}
+	})
+	h.engine.process(s.now)
+	return o
+}
+
+func (o *outcome) known() bool { return o.err != nil || o.result.Revision != 0 || o.result.Err != nil }
+
+// accept commits a change on the leader and returns its revision.
+func (s *sim) accept(id string, value int) uint64 {
+	s.tb.Helper()
+	var o *outcome
+	s.until("acceptance of "+id, func() bool {
+		if o == nil || o.err != nil {
+			o = s.submit(s.leader(), write(id, value))
+		}
+		return o.known() && o.err == nil
+	})
+	return o.result.Revision
+}
+
+// everywhere waits until a revision is in force on all running hosts.
+func (s *sim) everywhere(revision uint64) {
+	s.tb.Helper()
+	s.until(fmt.Sprintf("revision %d everywhere", revision), func() bool {
+		for _, h := range s.hosts {
+			if h.engine != nil && h.replica.Revision() < revision {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (s *sim) member(change func(raft.Membership) (raft.Membership, error)) {
+	s.tb.Helper()
+	var o *outcome
+	s.until("change of members", func() bool {
+		if o == nil || o.err != nil {
+			o = &outcome{}
+			now := o
+			s.leader().engine.change(change, func(r state.Result, err error) { *now = outcome{r, err} })
+		}
+		return o.known() && o.err == nil
+	})
+}
+
+func write(id string, value int) state.Command {
+	ops := []settings.Op{{Action: settings.Set, Path: "/", Key: settings.RequestQueue, Value: fmt.Sprint(value)}}
+	return state.Command{Change: &state.Change{ID: id, Ops: ops}}
+}
+
+func writeOn(base uint64, id string, value int) state.Command {
+	c := write(id, value)
+	c.Change.Base, c.Change.HasBase = base, true
+	return c
+}
+
+// value returns the setting in force on a host, and the settings revision.
+func (h *simHost) value() (value int, revision uint64) {
+	h.replica.Read(func(s *state.State) {
+		value, revision = s.Tree.Int("/", settings.RequestQueue), s.SettingsRevision
+	})
+	return value, revision
+}
+
+// answered reports whether a host knows the change.
+func (h *simHost) answered(id string) (known bool) {
+	h.replica.Read(func(s *state.State) { _, known = s.Answer(id) })
+	return known
+}
--- a/internal/raft/leader.go
+++ b/internal/raft/leader.go
@@ -21,13 +21,22 @@
 		return
 	}
 	if n.transferee != 0 && n.now >= n.transferUntil {
-		n.transferee = 0
+		n.reclaim()
+		return
 	}
 	if n.now-n.heartbeatAt >= n.cfg.HeartbeatInterval {
 		n.beat()
 	}
 }
 
+// reclaim ends a hand-over that came to nothing. Only a new term gives back
+// the lease, since the request to campaign may still arrive in this one. The
+// voters need not wait for the lease to run out: it is this member's own.
+func (n *Node) reclaim() {
+	n.becomeFollower(n.term, 0)
+	n.campaign(false, true)
+}
+
 // beat sends a round of heartbeats.
 func (n *Node) beat() {
 	n.heartbeatAt = n.now
--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -161,6 +161,23 @@
 	c.Assert(cl.now-start < testElection, qt.IsTrue) // without an election timeout
 }
 
+// A hand-over that comes to nothing must not leave a leader without a lease.
+func TestFailedTransferEndsInALease(t *testing.T) {
+	c := qt.New(t)
+	cl := newCluster(t, 10, 3)
+	old := cl.leader()
+	cl.propose("x")
+	c.Assert(cl.nodes[old].Transfer(), qt.IsTrue)
+	r, _ := cl.nodes[old].Ready() // its messages are lost
+	cl.disks[old].save(r)
+	cl.nodes[old].Advance(r)
+	start := cl.now
+	cl.wait(testElection)
+	cl.leader()
+	c.Assert(cl.now-start < 2*testElection, qt.IsTrue)
+	cl.propose("y")
+}
+
 // A snapshot that matches the log must not drop the entries after it, which
 // may have counted for a quorum.
 func TestSnapshotKeepsAcknowledgedEntries(t *testing.T) {
