--- a/internal/raft/step_test.go
+++ b/internal/raft/step_test.go
@@ -57,6 +57,16 @@
 	}
 }
 
+// A message for the holder of a lost disk is not for the one that replaced it.
+func TestMessageForAnotherIdentityIsIgnored(t *testing.T) {
+	c := qt.New(t)
+	n := member(c, 3)
+	n.Step(2*testElection, Message{Type: MsgVote, From: 2, To: 99, Term: 4, Index: 9, LogTerm: 3})
+	r, _ := n.Ready()
+	c.Assert(r.Messages, qt.HasLen, 0)
+	c.Assert(r.HardState.Term, qt.Equals, uint64(3))
+}
+
 func TestOneVoteInATerm(t *testing.T) {
 	c := qt.New(t)
 	n := member(c, 3)
