Decide on stateless buckets and recorded flows faster

Change: the header is filled in by pointer, services and backend servers have indexes of their own in the view. Benchmarks report the ratios to the floor, the naive versions' too, and tests hold allocations at 0.

--- a/internal/entry/packets.go
+++ b/internal/entry/packets.go
@@ -82,6 +82,7 @@
 	f      *Forwarder
 	parser *flow.Parser
 	packet flow.Packet
+	header route.Header
 	out    []byte
 }
 
@@ -92,23 +93,25 @@
 		return
 	}
 	view := f.view()
-	verdict := f.router.Route(f.Seconds(), view, &w.packet)
+	w.header = route.Header{Source: from}
+	verdict := f.router.Route(f.Seconds(), view, &w.packet, &w.header)
 	if f.stalls.Seen(f.now(), verdict.Flow, &w.packet) {
 		verdict = route.Verdict{Action: route.Reset, Reason: route.Stalled, Flow: verdict.Flow}
 	}
-	verdict.Header.Source = from
 	w.act(view, verdict, data, from)
 }
 
 func (w *worker) fromHost(data []byte) {
 	f := w.f
-	header, packet, err := route.ParseHeader(data)
+	var packet []byte
+	var err error
+	w.header, packet, err = route.ParseHeader(data)
 	if err != nil {
 		f.counts.malformed.Inc(1)
 		return
 	}
-	if header.Stage == route.Confirm {
-		f.router.Confirmed(f.Seconds(), header)
+	if w.header.Stage == route.Confirm {
+		f.router.Confirmed(f.Seconds(), w.header)
 		return
 	}
 	if err := w.parser.Parse(packet, &w.packet); err != nil {
@@ -116,7 +119,8 @@
 		return
 	}
 	view := f.view()
-	w.act(view, f.router.Relayed(f.Seconds(), view, &w.packet, header), packet, header.Source)
+	source := w.header.Source
+	w.act(view, f.router.Relayed(f.Seconds(), view, &w.packet, &w.header), packet, source)
 }
 
 // act does what the verdict says.
@@ -147,7 +151,7 @@
 	w.f.counts.forwarded.Inc(1)
 	w.f.open.note(v.Backend, &w.packet)
 	if v.Confirm {
-		v.To = v.Header.Home
+		v.To = w.header.Home
 		w.send(view, v, nil)
 	}
 }
@@ -159,7 +163,7 @@
 		w.f.counts.dropped(route.NoHome)
 		return
 	}
-	w.out = append(v.Header.Append(w.out[:0]), packet...)
+	w.out = append(w.header.Append(w.out[:0]), packet...)
 	if err := w.f.relay.Send(host.Relay, w.out); err != nil {
 		w.f.counts.failed.Inc(1)
 	}
--- /dev/null
+++ b/internal/route/bench_test.go
@@ -0,0 +1,179 @@
+package route_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"greengagequay/internal/flow"
+	"greengagequay/internal/route"
+	"greengagequay/internal/table"
+)
+
+// benchPackets is the number of flows that the benchmarks choose from.
+const benchPackets = 1 << 12
+
+// benchTable returns a table of one service whose buckets are in the phase,
+// with host 1 as their home.
+func benchTable(phase table.Phase) *table.Table {
+	svc := &table.Service{Name: "pantanir", Mask: simBuckets - 1, Buckets: make([]table.Bucket, simBuckets)}
+	t := &table.Table{
+		Revision: 1, Seed: 7, ByName: map[string]*table.Service{"pantanir": svc},
+		ByAddress: map[table.Endpoint]*table.Service{{Addr: simServices[0].address.Addr(), Port: 443, Proto: 6}: svc},
+		Backends:  map[table.BackendNum]table.Backend{},
+		Hosts:     map[table.HostNum]table.Host{1: {Num: 1, Name: "host"}},
+	}
+	for n := table.BackendNum(1); n <= 18; n++ {
+		t.Backends[n] = table.Backend{Num: n, Service: "pantanir", State: "ready"}
+	}
+	for i := range svc.Buckets {
+		first := table.BackendNum(i%14 + 1)
+		svc.Buckets[i] = table.Bucket{Candidates: [4]table.BackendNum{first, first + 1}, Phase: phase, Home: 1}
+	}
+	return t
+}
+
+func benchFlows() []flow.Packet {
+	r := rand.New(rand.NewPCG(1, 1))
+	packets := make([]flow.Packet, benchPackets)
+	for i := range packets {
+		packets[i] = flow.Packet{
+			Src: netip.AddrFrom4([4]byte{10, byte(r.Uint32()), byte(r.Uint32()), byte(r.Uint32())}), SrcPort: uint16(r.Uint32()),
+			Dst: simServices[0].address.Addr(), DstPort: 443, Proto: 6, ACK: true,
+		}
+	}
+	return packets
+}
+
+// decisions are the ways to decide on a packet that are compared. Each returns
+// the number of a backend server.
+func decisions() []struct {
+	name   string
+	decide func(p *flow.Packet) table.BackendNum
+} {
+	t := benchTable(table.Stable)
+	router := route.NewRouter(1 << 20)
+	stable := route.NewView(t, "host", router)
+	moving := route.NewView(benchTable(table.Move), "host", router)
+	packets := benchFlows()
+	local := map[uint64]table.BackendNum{}
+	var lock sync.Mutex
+	for i := range packets {
+		router.Route(1, moving, &packets[i], &route.Header{}) // records the flow
+		router.Route(1, moving, &packets[i], &route.Header{})
+	}
+	ready := naiveReady(t, "pantanir")
+	floor := make([]table.BackendNum, simBuckets)
+	for i := range floor {
+		floor[i] = t.ByName["pantanir"].Buckets[i].Unknown()
+	}
+	return []struct {
+		name   string
+		decide func(p *flow.Packet) table.BackendNum
+	}{
+		{"floor", func(p *flow.Packet) table.BackendNum { return floor[p.Hash(7)&(simBuckets-1)] }},
+		{"stateless", func(p *flow.Packet) table.BackendNum { return router.Route(1, stable, p, &route.Header{}).Backend }},
+		{"recorded", func(p *flow.Packet) table.BackendNum { return router.Route(1, moving, p, &route.Header{}).Backend }},
+		{"modulo", func(p *flow.Packet) table.BackendNum {
+			if t.ByAddress[p.Endpoint()] == nil {
+				return 0
+			}
+			return ready[p.Hash(7)%uint64(len(ready))]
+		}},
+		{"rendezvous", func(p *flow.Packet) table.BackendNum {
+			if t.ByAddress[p.Endpoint()] == nil {
+				return 0
+			}
+			lock.Lock() // the threads of a host share the table of flows
+			defer lock.Unlock()
+			return rendezvousLocal(local, ready, p.Hash(7), func(n table.BackendNum) bool { _, ok := t.Backends[n]; return ok })
+		}},
+	}
+}
+
+var sink table.BackendNum
+
+// BenchmarkDecision runs the ways in turn within one run, and reports the
+// median of their ratios to the floor.
+func BenchmarkDecision(b *testing.B) {
+	packets, ways := benchFlows(), decisions()
+	ratios := make([][]float64, len(ways))
+	for b.Loop() {
+		var floor float64
+		for w, way := range ways {
+			start := time.Now()
+			for i := range packets {
+				sink = way.decide(&packets[i])
+			}
+			spent := float64(time.Since(start))
+			if w == 0 {
+				floor = spent
+			}
+			ratios[w] = append(ratios[w], spent/floor)
+		}
+	}
+	for w, way := range ways {
+		slices.Sort(ratios[w])
+		b.ReportMetric(ratios[w][len(ratios[w])/2], way.name+"/floor")
+	}
+}
+
+// BenchmarkOne reports the time and allocations of one decision.
+func BenchmarkOne(b *testing.B) {
+	packets := benchFlows()
+	for _, way := range decisions() {
+		b.Run(way.name, func(b *testing.B) {
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				sink = way.decide(&packets[i&(benchPackets-1)])
+				i++
+			}
+		})
+	}
+}
+
+// BenchmarkCores reports decisions on recorded flows and on stateless buckets
+// by several cores at once.
+func BenchmarkCores(b *testing.B) {
+	packets := benchFlows()
+	for _, way := range decisions()[1:3] {
+		for _, cores := range []int{1, 4, 8} {
+			b.Run(fmt.Sprint(way.name, "/", cores), func(b *testing.B) { onCores(b, cores, packets, way.decide) })
+		}
+	}
+}
+
+func onCores(b *testing.B, cores int, packets []flow.Packet, decide func(*flow.Packet) table.BackendNum) {
+	const round = 1 << 16
+	for b.Loop() {
+		done := make(chan table.BackendNum, cores)
+		for c := range cores {
+			go func() {
+				var n table.BackendNum
+				for i := range round {
+					n += decide(&packets[(i+c*511)&(benchPackets-1)])
+				}
+				done <- n
+			}()
+		}
+		for range cores {
+			sink = <-done
+		}
+	}
+	b.ReportMetric(float64(round)*float64(cores)*float64(b.N)/b.Elapsed().Seconds()/1e6, "Mdecisions/s")
+}
+
+// TestDecisionAllocatesNothing covers the stateless and the recorded path.
+func TestDecisionAllocatesNothing(t *testing.T) {
+	packets := benchFlows()
+	for _, way := range decisions()[:3] {
+		if n := testing.AllocsPerRun(1000, func() { sink = way.decide(&packets[0]) }); n != 0 {
+			t.Errorf("%s: %v allocations", way.name, n)
+		}
+	}
+}
--- a/internal/route/home.go
+++ b/internal/route/home.go
@@ -6,8 +6,9 @@
 	"greengagequay/internal/table"
 )
 
-// Relayed decides on a packet that another entry host relayed.
-func (r *Router) Relayed(now records.Seconds, v *View, p *flow.Packet, h Header) Verdict {
+// Relayed decides on a packet that another entry host relayed with the header
+// h. For a packet to relay once more, or a record to confirm, it changes h.
+func (r *Router) Relayed(now records.Seconds, v *View, p *flow.Packet, h *Header) Verdict {
 	svc := v.service(p)
 	if svc == nil {
 		return Verdict{Action: Drop, Reason: UnknownService}
@@ -44,10 +45,11 @@
 	if d.header.Hops >= maxHops {
 		return d.verdict(Drop, TooManyHops)
 	}
-	return Verdict{Action: Relay, To: home, Flow: d.flow, Header: Header{
+	*d.header = Header{
 		Stage: ToHome, Hops: d.header.Hops + 1, Backend: d.bucket.Unknown(),
 		Revision: max(v.Table.Revision, d.header.Revision), Flow: d.flow, Source: d.header.Source,
-	}}
+	}
+	return Verdict{Action: Relay, To: home, Flow: d.flow}
 }
 
 // home decides on a packet as the home of its bucket.
@@ -113,10 +115,11 @@
 		}
 		return d.forward(n)
 	}
-	return Verdict{Action: Relay, To: first, Flow: d.flow, Header: Header{
+	*d.header = Header{
 		Stage: ToBackup, Known: known, Home: v.self, Next: second, Backend: n,
 		Revision: v.Table.Revision, Flow: d.flow, Source: d.header.Source,
-	}}
+	}
+	return Verdict{Action: Relay, To: first, Flow: d.flow}
 }
 
 // backups returns the backups of a bucket that can be used, 0 where none.
@@ -155,13 +158,10 @@
 	if _, known := v.Table.Hosts[h.Next]; known && h.Next != v.self {
 		next := h.Next
 		h.Next, h.Known = 0, h.Known || ok
-		return Verdict{Action: Relay, To: next, Flow: d.flow, Header: h}
+		return Verdict{Action: Relay, To: next, Flow: d.flow}
 	}
-	return Verdict{Action: Forward, Backend: n, Flow: d.flow, Confirm: true, Header: confirmation(h)}
-}
-
-func confirmation(h Header) Header {
-	return Header{Stage: Confirm, Home: h.Home, Backend: h.Backend, Revision: h.Revision, Flow: h.Flow}
+	*h = Header{Stage: Confirm, Home: h.Home, Backend: n, Revision: h.Revision, Flow: d.flow}
+	return Verdict{Action: Forward, Backend: n, Flow: d.flow, Confirm: true}
 }
 
 // Confirmed notes that the backups hold a record.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -66,11 +66,10 @@
 type Verdict struct {
 	Action  Action
 	Reason  Reason
-	Confirm bool             // send Header.Home a confirmation of the record
+	Confirm bool             // the header is a confirmation to send to Header.Home
 	Backend table.BackendNum // of Forward
 	To      table.HostNum    // of Relay
 	Flow    uint64           // fingerprint of the flow
-	Header  Header           // of Relay and Confirm
 }
 
 // Router decides with the records of one entry host. It is safe for
@@ -85,8 +84,9 @@
 	return &Router{Records: records.New(limit)}
 }
 
-// Route decides on a packet that came from the fabric.
-func (r *Router) Route(now records.Seconds, v *View, p *flow.Packet) Verdict {
+// Route decides on a packet that came from the fabric. For a packet to relay it
+// fills in h, in which the caller has set the source alone.
+func (r *Router) Route(now records.Seconds, v *View, p *flow.Packet, h *Header) Verdict {
 	svc := v.service(p)
 	if svc == nil {
 		return Verdict{Action: Drop, Reason: UnknownService}
@@ -100,7 +100,7 @@
 		}
 		return Verdict{Action: Reset, Reason: NoBackend, Flow: hash}
 	}
-	return r.special(now, v, &decision{svc: svc, bucket: b, index: index, flow: hash, packet: p})
+	return r.special(now, v, &decision{svc: svc, bucket: b, index: index, flow: hash, packet: p, header: h})
 }
 
 // decision is what the decision on one packet depends on besides the view.
@@ -110,7 +110,7 @@
 	index  uint64
 	flow   uint64
 	packet *flow.Packet
-	header Header // of a relayed packet
+	header *Header // in: of a relayed packet; out: of the packet to relay
 }
 
 // special decides on a packet from the fabric whose bucket moves, or while the
--- a/internal/route/view.go
+++ b/internal/route/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"net/netip"
 	"slices"
 
 	"greengagequay/internal/flow"
@@ -20,18 +21,19 @@
 	reachable []table.HostNum
 	zones     map[string]bool // zones of the reachable hosts
 	slots     []serviceSlot   // hash table with linear probing
+	members   []memberSlot    // hash table with linear probing
 }
 
-// serviceSlot is an entry of the index of services.
-type serviceSlot struct {
-	key     endpointKey
-	service *table.Service // nil marks a free slot
+// memberSlot is an entry of the index of backend servers that have not gone.
+type memberSlot struct {
+	num     table.BackendNum // 0 marks a free slot
+	service *table.Service
 }
 
-// endpointKey is a table.Endpoint in a form that compares quickly.
-type endpointKey struct {
-	high, low uint64
-	rest      uint64 // port and protocol
+// serviceSlot is an entry of the index of services.
+type serviceSlot struct {
+	endpoint table.Endpoint
+	service  *table.Service // nil marks a free slot
 }
 
 // NewView returns the view of the entry host called name. The router's records
@@ -44,6 +46,7 @@
 		}
 	}
 	v.indexServices()
+	v.indexMembers()
 	return v
 }
 
@@ -78,50 +81,82 @@
 // delivers reports whether packets of the service may go to a backend server:
 // it is known, has not gone and belongs to that service.
 func (v *View) delivers(n table.BackendNum, svc *table.Service) bool {
-	b, ok := v.Destination(n)
-	return ok && b.Service == svc.Name
+	for i := memberAt(n, len(v.members)); ; i = (i + 1) & (len(v.members) - 1) {
+		s := &v.members[i]
+		if s.num == n {
+			return n != 0 && s.service == svc
+		}
+		if s.num == 0 {
+			return false
+		}
+	}
 }
 
-// indexServices fills the index. At most half of its slots are in use.
-func (v *View) indexServices() {
+// indexMembers fills the index of backend servers that have not gone.
+func (v *View) indexMembers() {
+	v.members = make([]memberSlot, indexSize(len(v.Table.Backends)))
+	for n, b := range v.Table.Backends {
+		svc := v.Table.ByName[b.Service]
+		if b.State == model.Gone || svc == nil {
+			continue
+		}
+		i := memberAt(n, len(v.members))
+		for v.members[i].num != 0 {
+			i = (i + 1) & (len(v.members) - 1)
+		}
+		v.members[i] = memberSlot{num: n, service: svc}
+	}
+}
+
+func memberAt(n table.BackendNum, size int) int {
+	return int(uint64(n)*golden>>32) & (size - 1)
+}
+
+// indexSize returns a power of two of which n is at most half.
+func indexSize(n int) int {
 	size := 2
-	for size < 2*len(v.Table.ByAddress) {
+	for size < 2*n {
 		size *= 2
 	}
+	return size
+}
+
+// indexServices fills the index. At most half of its slots are in use.
+func (v *View) indexServices() {
+	size := indexSize(len(v.Table.ByAddress))
 	v.slots = make([]serviceSlot, size)
 	for e, svc := range v.Table.ByAddress {
-		key := keyOf(e.Addr.As16(), e.Port, e.Proto)
-		i := key.slot(size)
+		i := serviceAt(e.Addr, e.Port, size)
 		for v.slots[i].service != nil {
 			i = (i + 1) & (size - 1)
 		}
-		v.slots[i] = serviceSlot{key: key, service: svc}
+		v.slots[i] = serviceSlot{endpoint: e, service: svc}
 	}
 }
 
 // service returns the service at the packet's destination, or nil.
 func (v *View) service(p *flow.Packet) *table.Service {
-	key := keyOf(p.Dst.As16(), p.DstPort, p.Proto)
-	for i := key.slot(len(v.slots)); ; i = (i + 1) & (len(v.slots) - 1) {
+	for i := serviceAt(p.Dst, p.DstPort, len(v.slots)); ; i = (i + 1) & (len(v.slots) - 1) {
 		s := &v.slots[i]
-		if s.service == nil || s.key == key {
+		e := &s.endpoint
+		if s.service == nil || e.Port == p.DstPort && e.Proto == p.Proto && e.Addr == p.Dst {
 			return s.service
 		}
 	}
 }
 
-func keyOf(addr [16]byte, port uint16, proto uint8) endpointKey {
-	return endpointKey{
-		high: binary.BigEndian.Uint64(addr[:8]),
-		low:  binary.BigEndian.Uint64(addr[8:]),
-		rest: uint64(port)<<8 | uint64(proto),
-	}
-}
-
-// golden spreads keys that differ in few bits.
+// golden spreads numbers that differ in few bits.
 const golden = 0x9e3779b97f4a7c15
 
-func (k endpointKey) slot(size int) int {
-	h := (k.high ^ k.low ^ k.rest<<40) * golden
-	return int(h>>32) & (size - 1)
+// serviceAt returns the slot at which the search for an address starts.
+func serviceAt(addr netip.Addr, port uint16, size int) int {
+	var low uint64
+	if addr.Is4() {
+		b := addr.As4()
+		low = uint64(binary.BigEndian.Uint32(b[:]))
+	} else {
+		b := addr.As16()
+		low = binary.BigEndian.Uint64(b[8:]) ^ binary.BigEndian.Uint64(b[:8])
+	}
+	return int((low^uint64(port)<<40)*golden>>32) & (size - 1)
 }
