Drive the cores with the product's placement alone

Cause: the driver had a placement of its own beside the product's, which the scenarios no longer need.

Change: the plain placement is removed; hosts, naive versions and controller share the product's state and planner.

--- a/internal/route/scenario_test.go
+++ b/internal/route/scenario_test.go
@@ -21,7 +21,7 @@
 	simHosts    = flag.Int("hosts", 6, "entry hosts")
 	simZones    = flag.Int("zones", 3, "availability zones")
 	simTurns    = flag.Int("turns", 3, "backend servers or hosts that take their turn, 0 for all")
-	simVersions = flag.String("versions", "plain,planner", "versions to run, of plain, planner, modulo and rendezvous")
+	simVersions = flag.String("versions", "homes", "versions to run, of homes, modulo and rendezvous")
 	simTable    = flag.Bool("table", false, "print a table of all runs")
 )
 
@@ -77,7 +77,7 @@
 // busiest returns the host that is the home of the most moving buckets.
 func (s *sim) busiest() *simHost {
 	homes := map[table.HostNum]int{}
-	for _, buckets := range s.ctl.buckets {
+	for _, buckets := range s.ctl.state.Placement.Buckets {
 		for _, b := range buckets {
 			homes[b.Home]++
 		}
--- a/internal/route/sim_test.go
+++ b/internal/route/sim_test.go
@@ -39,7 +39,7 @@
 	byNum    map[table.BackendNum]*simBackend
 	flows    []*simFlow
 	ctl      *simControl
-	version  string        // one of versions
+	version  string        // homes, modulo or rendezvous
 	late     time.Duration // tables arrive up to this late
 	loss     float64       // share of packets and messages that are lost
 	cut      string        // zone that is cut off
@@ -170,20 +170,14 @@
 
 func newSim(seed uint64, version string, hosts, zones, flows int) *sim {
 	s := &sim{rand: rand.New(rand.NewPCG(seed, 1)), version: version, loss: 0.01, late: 300 * time.Millisecond}
-	s.byNum = map[table.BackendNum]*simBackend{}
-	s.ctl = newSimControl(s)
-	if version == "planner" {
-		s.ctl.planner = newSimPlanner(zones)
-	}
+	s.ctl = newSimControl(s, zones)
 	for i := range hosts {
 		s.addHost(fmt.Sprint("host-", i), fmt.Sprint("zone-", i%zones))
 	}
 	for _, svc := range simServices {
 		for i := range svc.backends {
 			b := table.Backend{ID: fmt.Sprint(svc.name, "-", i), Service: svc.name, Zone: fmt.Sprint("zone-", i%zones), State: model.Ready}
-			b.Num = s.ctl.nextBackend()
-			sb := &simBackend{Backend: b, accepted: map[*simFlow]bool{}}
-			s.backends, s.byNum[b.Num] = append(s.backends, sb), sb
+			s.backends = append(s.backends, &simBackend{Backend: b, accepted: map[*simFlow]bool{}})
 		}
 	}
 	s.ctl.tick()
@@ -193,12 +187,10 @@
 	return s
 }
 
-// isNaive tells the naive versions from those with homes. Of these, "plain" has
-// the placement of this driver and "planner" that of the product.
-func (s *sim) isNaive() bool { return s.version == "modulo" || s.version == "rendezvous" }
+func (s *sim) isNaive() bool { return s.version != "homes" }
 
 func (s *sim) addHost(name, zone string) *simHost {
-	h := &simHost{Host: table.Host{Num: s.ctl.nextHost(), Name: name, Zone: zone}}
+	h := &simHost{Host: table.Host{Name: name, Zone: zone}}
 	s.hosts = append(s.hosts, h)
 	s.boot(h)
 	return h
