--- /dev/null
+++ b/internal/fence/fence_test.go
@@ -0,0 +1,64 @@
+package fence
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestVerdicts(t *testing.T) {
+	marks := func(m ...Mark) []Mark { return m }
+	tests := []struct {
+		name    string
+		reports []Report
+		want    Verdict
+		served  Epoch
+	}{
+		{"no report", nil, Pending, 0},
+		{"never served", []Report{{Host: "a/1", Since: 5}, {Host: "b/1", Since: 5}}, Fresh, 0},
+		{"younger than the unit", []Report{{Host: "a/1", Since: 5}, {Host: "b/2", Since: 20}}, Lost, 0},
+		{"last home is whole", []Report{{Host: "a/1", Served: 3, Opened: 3}, {Host: "b/1", Marks: marks(Mark{3, "a/1"})}}, Complete, 3},
+		{"last home has restarted", []Report{{Host: "a/2"}, {Host: "b/1", Marks: marks(Mark{3, "a/1"})}}, Lost, 0},
+		{"next home never served", []Report{{Host: "a/1", Served: 3, Opened: 3}, {Host: "b/1", Marks: marks(Mark{3, "a/1"}, Mark{4, "b/1"})}}, Complete, 3},
+		{"next home served and is gone", []Report{{Host: "a/1", Served: 3, Opened: 3}, {Host: "b/2", Marks: marks(Mark{3, "a/1"}, Mark{4, "b/1"})}}, Lost, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			takeover := NewTakeover(9, 10, []string{"a", "b"})
+			for i, r := range test.reports {
+				takeover.Add([]string{"a", "b"}[i], r)
+			}
+			verdict, served := takeover.Result()
+			c.Assert(verdict, qt.Equals, test.want)
+			c.Assert(served, qt.Equals, test.served)
+		})
+	}
+}
+
+func TestOlderClaimsAreRefused(t *testing.T) {
+	c := qt.New(t)
+	var m Marks
+	c.Assert(m.Advance(Mark{4, "a/1"}), qt.IsTrue)
+	c.Assert(m.Advance(Mark{4, "a/1"}), qt.IsTrue)
+	c.Assert(m.Advance(Mark{4, "a/2"}), qt.IsFalse)
+	c.Assert(m.Advance(Mark{3, "b/1"}), qt.IsFalse)
+	c.Assert(m.Allows(3), qt.IsFalse)
+	c.Assert(m.Allows(4), qt.IsTrue)
+}
+
+func TestRankMovesOnlyTheUnitsOfAMemberThatLeaves(t *testing.T) {
+	c := qt.New(t)
+	members := []Member{{"a", "x"}, {"b", "x"}, {"c", "y"}, {"d", "y"}}
+	for i := range 200 {
+		unit := fmt.Sprint(i)
+		before, after := Rank(unit, "x", members), Rank(unit, "x", members[1:])
+		c.Assert(before[0].Zone, qt.Equals, "x")
+		if before[0].Name != "a" {
+			c.Assert(after[0], qt.Equals, before[0])
+		}
+		home, backup := Pair(unit, members)
+		c.Assert(home.Zone, qt.Not(qt.Equals), backup.Zone)
+	}
+}
--- /dev/null
+++ b/internal/slots/world_test.go
@@ -0,0 +1,289 @@
+package slots
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"greengagequay/internal/fence"
+)
+
+// event is something that happens in a world.
+type event struct {
+	at  time.Time
+	seq int
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
+// node is a host of a world.
+type node struct {
+	name  string
+	inc   int
+	alive bool
+	until time.Time // frozen until
+	rev   int
+	core  *Core
+	acks  int
+	asked time.Time
+}
+
+func (n *node) process() string { return fmt.Sprintf("%s/%d", n.name, n.inc) }
+
+// world drives the cores of several hosts before one backend server, with
+// delays, lost messages, crashes, freezes and tables that arrive unevenly.
+type world struct {
+	rand     *rand.Rand
+	now      time.Time
+	queue    events
+	seq      int
+	nodes    []*node
+	tables   [][]fence.Member // by revision
+	params   Params
+	running  map[string]struct{} // at the backend server
+	most     int
+	ran      int
+	attempts int
+	stopped  bool
+}
+
+func newWorld(seed uint64, hosts int, p Params) *world {
+	w := &world{rand: rand.New(rand.NewPCG(seed, 1)), now: time.UnixMicro(1000), params: p, running: map[string]struct{}{}}
+	var first []fence.Member
+	for i := range hosts {
+		n := &node{name: fmt.Sprintf("h%d", i), alive: true, inc: 1, rev: 1}
+		n.core = New(n.process(), 0)
+		w.nodes = append(w.nodes, n)
+		first = append(first, fence.Member{Name: n.name, Zone: "z"})
+	}
+	w.tables = [][]fence.Member{nil, first}
+	return w
+}
+
+func (w *world) after(d time.Duration, do func()) {
+	w.seq++
+	heap.Push(&w.queue, event{w.now.Add(d), w.seq, do})
+}
+
+func (w *world) run(d time.Duration) {
+	end := w.now.Add(d)
+	for len(w.queue) > 0 && !w.queue[0].at.After(end) {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		e.do()
+	}
+	w.now = end
+}
+
+// on runs do on a host after a delay, unless the process has ended by then. A
+// frozen process runs it when it wakes.
+func (w *world) on(n *node, d time.Duration, do func()) {
+	inc := n.inc
+	w.after(d, func() {
+		switch {
+		case !n.alive || n.inc != inc:
+		case w.now.Before(n.until):
+			w.on(n, n.until.Sub(w.now), do)
+		default:
+			do()
+		}
+	})
+}
+
+// send carries a message to a host; some are lost and some are late.
+func (w *world) send(to *node, do func()) {
+	delay := time.Duration(w.rand.IntN(3000)) * time.Microsecond
+	switch w.rand.IntN(40) {
+	case 0:
+		return
+	case 1, 2:
+		delay *= 200
+	}
+	w.on(to, delay, do)
+}
+
+func (w *world) find(name string) *node {
+	for _, n := range w.nodes {
+		if n.name == name {
+			return n
+		}
+	}
+	return nil
+}
+
+func (w *world) homeOf(rev int) string {
+	ranked := fence.Rank("unit", "z", w.tables[rev])
+	if len(ranked) == 0 {
+		return ""
+	}
+	return ranked[0].Name
+}
+
+func (w *world) listed(rev int) func(string) bool {
+	return func(name string) bool {
+		for _, m := range w.tables[rev] {
+			if m.Name == name {
+				return true
+			}
+		}
+		return false
+	}
+}
+
+// publish makes a table revision that lists the hosts that are alive and not
+// in the drop list. It reaches each host at another time.
+func (w *world) publish(drop map[string]bool) {
+	var members []fence.Member
+	for _, n := range w.nodes {
+		if n.alive && !drop[n.name] {
+			members = append(members, fence.Member{Name: n.name, Zone: "z"})
+		}
+	}
+	w.tables = append(w.tables, members)
+	rev := len(w.tables) - 1
+	for _, n := range w.nodes {
+		late := time.Duration(w.rand.IntN(400)) * time.Millisecond
+		w.on(n, 0, func() { w.on(n, late, func() { n.rev = max(n.rev, rev) }) })
+	}
+}
+
+// tend does what a host does at each tick.
+func (w *world) tend(n *node) {
+	w.on(n, 50*time.Millisecond, func() { w.tend(n) })
+	if w.homeOf(n.rev) != n.name {
+		n.core.Resign()
+		return
+	}
+	if !n.core.Stands() {
+		var hosts []string
+		for _, m := range w.tables[n.rev] {
+			hosts = append(hosts, m.Name)
+		}
+		n.core.Claim(fence.Epoch(n.rev), 1000, hosts, w.params, w.now)
+	}
+	n.core.Listed(w.listed(n.rev), w.now)
+	granted, _ := n.core.Tick(w.now)
+	w.notify(n, granted)
+	w.claimAll(n)
+}
+
+// claimAll sends the claim to every host, which gathers reports and renews
+// the lease.
+func (w *world) claimAll(n *node) {
+	claim := fence.Mark{Epoch: n.core.Claims(), Home: n.process()}
+	if claim.Epoch == 0 {
+		return
+	}
+	asked, acks := w.now, 0
+	rev := n.rev
+	for _, m := range w.tables[rev] {
+		peer := w.find(m.Name)
+		w.send(peer, func() {
+			if peer.rev > int(claim.Epoch) && w.homeOf(peer.rev) != n.name {
+				return
+			}
+			report, ok := peer.core.Fence(claim, w.now)
+			if !ok {
+				known := peer.core.Epoch()
+				w.send(n, func() { n.core.Outbid(known) })
+				return
+			}
+			w.send(n, func() {
+				n.core.Reported(peer.name, claim.Epoch, report, w.now)
+				if acks++; acks == len(w.tables[rev])/2+1 {
+					n.core.Renew(claim.Epoch, asked)
+				}
+			})
+		})
+	}
+}
+
+// attempt is one attempt of a host.
+func (w *world) attempt(n *node) {
+	home := w.find(w.homeOf(n.rev))
+	if home == nil {
+		return
+	}
+	w.attempts++
+	id := fmt.Sprintf("%s-%d", n.process(), w.attempts)
+	deadline := w.now.Add(time.Duration(100+w.rand.IntN(900)) * time.Millisecond)
+	w.send(home, func() {
+		a := home.core.Acquire(Request{Attempt: id, Holder: n.process(), Remaining: deadline.Sub(w.now)}, w.now)
+		if a.Verdict == Granted {
+			w.send(n, func() { w.start(n, id, a.Epoch, deadline) })
+		}
+	})
+	w.on(n, deadline.Sub(w.now), func() { // a caller that gave up, whether it was granted or not
+		if _, running := n.core.running[id]; !running {
+			w.release(n, id)
+		}
+	})
+}
+
+func (w *world) notify(home *node, granted []string) {
+	epoch := home.core.Claims()
+	for _, id := range granted {
+		holder := home.core.home.held[id]
+		for _, n := range w.nodes {
+			if n.process() == holder.holder {
+				w.send(n, func() { w.start(n, id, epoch, holder.until.Add(-CancelGrace)) })
+			}
+		}
+	}
+}
+
+func (w *world) start(n *node, id string, e fence.Epoch, deadline time.Time) {
+	if !n.core.Start(id, e, deadline, w.now) {
+		return
+	}
+	w.ran++
+	w.running[id] = struct{}{}
+	w.most = max(w.most, len(w.running))
+	left := deadline.Sub(w.now)
+	took := time.Duration(w.rand.Int64N(int64(120 * time.Millisecond)))
+	if w.rand.IntN(10) == 0 {
+		took = left + CancelGrace*9/10 // hangs, and is slow to be cancelled
+	}
+	w.after(took, func() {
+		delete(w.running, id)
+		w.on(n, 0, func() {
+			n.core.End(id)
+			w.release(n, id)
+		})
+	})
+}
+
+func (w *world) release(n *node, id string) {
+	name := n.core.Home()
+	for _, home := range w.nodes {
+		if home.process() == name {
+			w.send(home, func() { w.notify(home, home.core.Release(id, w.now)) })
+		}
+	}
+}
+
+func (w *world) crash(n *node) {
+	n.alive = false
+}
+
+func (w *world) restart(n *node) {
+	n.alive, n.inc, n.rev = true, n.inc+1, 1
+	n.core = New(n.process(), w.now.UnixMicro())
+	w.on(n, 0, func() { w.tend(n) })
+	w.on(n, time.Duration(w.rand.IntN(200))*time.Millisecond, func() { n.rev = max(n.rev, len(w.tables)-1) })
+}
