--- a/internal/slots/core.go
+++ b/internal/slots/core.go
@@ -82,6 +82,12 @@
 	slices.SortFunc(holds, func(a, b Hold) int { return cmp.Compare(a.Attempt, b.Attempt) })
 }
 
+// Rejoin notes that the table dropped this host for a time. Other homes may
+// have served then without its knowledge, so its records are no longer whole.
+func (c *Core) Rejoin(now time.Time) {
+	c.home, c.former, c.since = nil, formerHome{}, now.UnixMicro()
+}
+
 // Claim starts to take the slots over as their home. hosts are the entry hosts
 // of the table, and born is the start of the backend server in microseconds
 // since 1970. It reports false if a newer claim is known.
--- a/internal/slots/world_test.go
+++ b/internal/slots/world_test.go
@@ -38,9 +38,8 @@
 	alive bool
 	until time.Time // frozen until
 	rev   int
+	num   int
 	core  *Core
-	acks  int
-	asked time.Time
 }
 
 func (n *node) process() string { return fmt.Sprintf("%s/%d", n.name, n.inc) }
@@ -54,12 +53,12 @@
 	seq      int
 	nodes    []*node
 	tables   [][]fence.Member // by revision
+	nums     []map[string]int // by revision; a host that returns gets a new one
 	params   Params
 	running  map[string]struct{} // at the backend server
 	most     int
 	ran      int
 	attempts int
-	stopped  bool
 }
 
 func newWorld(seed uint64, hosts int, p Params) *world {
@@ -72,6 +71,10 @@
 		first = append(first, fence.Member{Name: n.name, Zone: "z"})
 	}
 	w.tables = [][]fence.Member{nil, first}
+	w.nums = []map[string]int{nil, {}}
+	for _, n := range w.nodes {
+		w.nums[1][n.name] = 0
+	}
 	return w
 }
 
@@ -149,11 +152,18 @@
 // in the drop list. It reaches each host at another time.
 func (w *world) publish(drop map[string]bool) {
 	var members []fence.Member
+	last, nums := w.nums[len(w.nums)-1], map[string]int{}
 	for _, n := range w.nodes {
 		if n.alive && !drop[n.name] {
 			members = append(members, fence.Member{Name: n.name, Zone: "z"})
+			num, ok := last[n.name]
+			if !ok {
+				num = len(w.tables)
+			}
+			nums[n.name] = num
 		}
 	}
+	w.nums = append(w.nums, nums)
 	w.tables = append(w.tables, members)
 	rev := len(w.tables) - 1
 	for _, n := range w.nodes {
@@ -165,6 +175,10 @@
 // tend does what a host does at each tick.
 func (w *world) tend(n *node) {
 	w.on(n, 50*time.Millisecond, func() { w.tend(n) })
+	if num, ok := w.nums[n.rev][n.name]; ok && num != n.num {
+		n.num = num
+		n.core.Rejoin(w.now)
+	}
 	if w.homeOf(n.rev) != n.name {
 		n.core.Resign()
 		return
