--- a/internal/slots/home.go
+++ b/internal/slots/home.go
@@ -20,6 +20,7 @@
 // waiter is an attempt in the queue.
 type waiter struct {
 	attempt  string
+	customer string
 	holder   string
 	deadline time.Time
 }
@@ -38,7 +39,8 @@
 	lease     time.Time
 	shedUntil time.Time
 	held      map[string]hold
-	queue     []waiter             // earliest deadline first
+	queue     []waiter // earliest deadline first
+	turns     turns
 	released  map[string]time.Time // released before they asked, and until when that matters
 	service   time.Duration        // average service time
 }
@@ -131,21 +133,33 @@
 	if released || r.Remaining <= 0 || r.Remaining > h.params.MaxHold {
 		return h.answer(Full)
 	}
-	w := waiter{attempt: r.Attempt, holder: r.Holder, deadline: now.Add(r.Remaining)}
+	w := waiter{attempt: r.Attempt, customer: r.Customer, holder: r.Holder, deadline: now.Add(r.Remaining)}
 	if len(h.queue) == 0 && len(h.held) < h.slots(now) {
 		h.grant(w, now)
 		return h.answer(Granted)
 	}
-	if len(h.queue) >= h.params.Queue || h.wait(now) >= r.Remaining {
+	if h.wait(now) >= r.Remaining {
 		return h.answer(Full)
 	}
+	var evicted string
+	if len(h.queue) >= h.params.Queue {
+		i, ok := evictable(h.queue, w.customer)
+		if !ok {
+			return h.answer(Full)
+		}
+		evicted = h.queue[i].attempt
+		h.queue = slices.Delete(h.queue, i, i+1)
+	}
 	at, _ := slices.BinarySearchFunc(h.queue, w, func(a, b waiter) int { return a.deadline.Compare(b.deadline) })
 	h.queue = slices.Insert(h.queue, at, w)
-	return h.answer(Queued)
+	a := h.answer(Queued)
+	a.Evicted = evicted
+	return a
 }
 
 func (h *home) grant(w waiter, now time.Time) {
 	h.held[w.attempt] = hold{holder: w.holder, granted: now, until: w.deadline.Add(CancelGrace)}
+	h.turns.take(w.customer)
 }
 
 // wait estimates how long one more attempt would wait.
@@ -172,8 +186,9 @@
 
 func (h *home) grantNext(now time.Time) (granted []string) {
 	for h.mayGrant(now) && len(h.queue) > 0 && len(h.held) < h.slots(now) {
-		w := h.queue[0]
-		h.queue = h.queue[1:]
+		i := h.turns.next(h.queue)
+		w := h.queue[i]
+		h.queue = slices.Delete(h.queue, i, i+1)
 		h.grant(w, now)
 		granted = append(granted, w.attempt)
 	}
--- a/internal/slots/messages.go
+++ b/internal/slots/messages.go
@@ -33,6 +33,7 @@
 // Request asks for a slot.
 type Request struct {
 	Attempt   string
+	Customer  string        // waiting customers get slots in turn
 	Holder    string        // process name of the entry host that asks
 	Remaining time.Duration // until the attempt's deadline
 }
@@ -42,6 +43,7 @@
 	Verdict Verdict
 	Epoch   fence.Epoch // under which the slot was granted
 	Load    Load
+	Evicted string // attempt that lost its place in the queue to this one, if any
 }
 
 // Load is how busy a backend server is, as its home knows.
