--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -29,8 +29,8 @@
 var hostSpecs = []hostSpec{
 	{"rvk-a-1", "rvk-a", true},
 	{"rvk-a-2", "rvk-a", false},
-	{"rvk-b-1", "rvk-b", false},
-	{"rvk-b-2", "rvk-b", false},
+	{"rvk-b-1", "rvk-b", true},
+	{"rvk-b-2", "rvk-b", true},
 }
 
 // serviceSpec describes one service of the demonstration.
@@ -100,11 +100,13 @@
 		Name: spec.name, Zone: spec.zone, Roles: []config.Role{config.Entry},
 		RPC: loopback, API: loopback, Gossip: loopback,
 		Packets: loopback, Relay: loopback, Requests: loopback,
-		Log: config.Log{Level: "warn", Format: "text"},
+		Listeners: map[string]string{serviceSpecs[0].name: loopback},
+		Log:       config.Log{Level: "warn", Format: "text"},
 	}
 	if spec.control {
 		c.Roles = append(c.Roles, config.Control)
 		c.Data = filepath.Join(f.dir, spec.name)
+		c.Bootstrap = true
 	}
 	return c
 }
