Add the pure core of gossip membership with its driver

Cause: each host reported to every control host, which does not scale and knows nothing of partitions. Change: probes with suspicion and two accusers, versions with refutation, bridges between zones, comparison of records by digests, progress of every host in two bytes, leases granted by beacons of the leading control host.

--- /dev/null
+++ b/internal/member/lease_test.go
@@ -0,0 +1,95 @@
+package member_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// checkLeases fails if the leader holds a lease for expired that its host
+// still counts on.
+func checkLeases(c *qt.C, nw *network, leader *node) {
+	for _, n := range nw.nodes {
+		if leader.core.LeaseOf(n.self.Name).Expired && !n.core.Lease().Expired {
+			c.Fatalf("%s counts on a lease that has run out: %+v, leader %+v", n.self.Name, n.core.Lease(), leader.core.LeaseOf(n.self.Name))
+		}
+	}
+}
+
+func TestLeaseOfCutOffHostEndsThereFirst(t *testing.T) {
+	for _, oneWay := range []string{"both", "to", "from"} {
+		c := qt.New(t)
+		nw := joined(c, 16, 3, 7)
+		nw.loss = 0.02
+		leader, cut := nw.nodes[0], nw.nodes[17]
+		leader.core.SetLeading(true)
+		nw.run(10 * time.Second)
+		for _, n := range nw.nodes {
+			c.Check(n.core.Lease().Expired, qt.IsFalse, qt.Commentf("%s %+v", n.self.Name, n.core.Lease()))
+		}
+		nw.blocked = func(from, to *node) bool {
+			return (to == cut && oneWay != "from") || (from == cut && oneWay != "to")
+		}
+		for range 60 {
+			nw.run(500 * time.Millisecond)
+			checkLeases(c, nw, leader)
+		}
+		c.Check(cut.core.Lease().Expired, qt.IsTrue, qt.Commentf(oneWay))
+		c.Check(leader.core.LeaseOf(cut.self.Name).Expired, qt.IsTrue, qt.Commentf(oneWay))
+		nw.blocked = nil
+		nw.run(15 * time.Second)
+		c.Check(cut.core.Lease().Expired, qt.IsFalse, qt.Commentf(oneWay))
+	}
+}
+
+func TestLeaseSurvivesChangeOfLeaderAndClockJump(t *testing.T) {
+	c := qt.New(t)
+	nw := joined(c, 17, 3, 7)
+	nw.loss = 0.02
+	leader := nw.nodes[0]
+	leader.core.SetLeading(true)
+	nw.run(10 * time.Second)
+	leader.core.SetLeading(false)
+	leader = nw.nodes[7]
+	leader.core.SetLeading(true)
+	leader.skew = time.Hour // must not end the others' leases
+	for range 40 {
+		nw.run(500 * time.Millisecond)
+		checkLeases(c, nw, leader)
+	}
+	for _, n := range nw.nodes {
+		c.Check(n.core.Lease().Expired, qt.IsFalse, qt.Commentf("%s %+v", n.self.Name, n.core.Lease()))
+	}
+}
+
+func TestRevisionInForceIsKnownToTheLeader(t *testing.T) {
+	c := qt.New(t)
+	nw := joined(c, 18, 3, 7)
+	nw.loss = 0.02
+	leader := nw.nodes[0]
+	leader.core.SetLeading(true)
+	nw.run(5 * time.Second)
+	stuck := nw.nodes[20]
+	for _, n := range nw.nodes {
+		if n != stuck {
+			n.core.SetRevision(700)
+		}
+	}
+	took := nw.runUntil(10*time.Second, func() bool {
+		for _, h := range leader.core.Hosts() {
+			if h.Revision != 700 && h.Name != stuck.self.Name {
+				return false
+			}
+		}
+		return true
+	})
+	t.Logf("leader knows after %v", took)
+	c.Check(took <= 2*time.Second, qt.IsTrue)
+	nw.run(5 * time.Second)
+	for _, n := range nw.nodes {
+		for _, h := range n.core.Hosts() {
+			c.Check(h.Revision == 700, qt.Equals, h.Name != stuck.self.Name, qt.Commentf("%s of %s", n.self.Name, h.Name))
+		}
+	}
+}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -1,18 +1,53 @@
-// Package member keeps the list of the system's hosts. Each host reports to
-// the control hosts, which answer with the whole list.
+// Package member keeps the list of the system's hosts by gossip. Core is
+// pure: messages and the time go in, messages and events come out. Inside an
+// availability zone every host probes the others and spreads what it learns.
+// A few hosts of each zone, its bridges, exchange news with other zones.
+//
+// The same messages carry items, which are versioned records that other
+// packages publish, and the progress of each host: the revision it has put in
+// force and the beacon of the control quorum that it has seen.
 package member
 
 import (
-	"slices"
-	"strings"
-	"sync"
 	"time"
 
 	"greengagequay/internal/model"
 )
 
-// deadAfter is the silence after which a host counts as dead.
-const deadAfter = 3 * time.Second
+// Times of the protocol.
+const (
+	TickInterval    = 50 * time.Millisecond // time between two calls of Tick
+	probeInterval   = 200 * time.Millisecond
+	directTimeout   = 150 * time.Millisecond  // then other hosts are asked to probe
+	probeTimeout    = 400 * time.Millisecond  // then the host is suspected
+	suspicionTime   = time.Second             // a suspicion that stands this long is a death
+	fewSuspicion    = 1500 * time.Millisecond // the same in a zone of two hosts
+	loneSuspicion   = 5 * time.Second         // the same with too few accusers
+	syncInterval    = 2 * time.Second         // between comparisons inside the zone
+	bridgeInterval  = time.Second             // between comparisons with other zones
+	reviveInterval  = time.Second             // between contacts with a dead host or a seed
+	tombstoneTime   = 24 * time.Hour          // a dead host is remembered this long
+	maxStep         = 500 * time.Millisecond  // a longer gap between ticks is a pause of this host
+	maxHealthFactor = 4                       // longest stretch of timeouts on a slow host
+)
+
+// Sizes of the protocol.
+const (
+	MaxDatagram  = 1200 // bytes
+	indirect     = 3    // hosts asked to probe
+	bridges      = 2    // bridges of a zone
+	accusers     = 2    // independent accusers that a quick death needs
+	fixedBytes   = 500  // bytes of a message without news and progress
+	maxProgress  = 300  // hosts of a zone whose progress fits a message
+	rumorBytes   = 500  // bytes of news in one message
+	rumorRate    = 1200 // bytes of news per second
+	rumorBurst   = 8000 // bytes
+	maxForeign   = 32   // pieces of news from other zones that are spread at a time
+	parts        = 16   // slices of a zone that are compared one by one
+	headerBytes  = 28   // IPv4 and UDP headers of a datagram
+	maxExcepted  = 4    // hosts listed apart in a summary of progress
+	versionShift = 13   // bits of a host's version that count refutations
+)
 
 // View lists the known hosts.
 type View interface {
@@ -20,61 +55,35 @@
 	Hosts() []model.Host
 }
 
-// Directory is a list of hosts with the time each was last heard. It is safe
-// for concurrent use.
-type Directory struct {
-	mu   sync.Mutex
-	seen map[string]sighting
-}
+// EventKind classifies an event.
+type EventKind string
 
-type sighting struct {
-	host model.Host
-	at   time.Time
-}
-
-// NewDirectory returns an empty directory.
-func NewDirectory() *Directory { return &Directory{seen: map[string]sighting{}} }
-
-// Heard notes a host's report. Reports of an older incarnation are ignored.
-func (d *Directory) Heard(h model.Host, now time.Time) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.seen[h.Name].host.Incarnation > h.Incarnation {
-		return
-	}
-	d.seen[h.Name] = sighting{host: h, at: now}
-}
+// The kinds of events.
+const (
+	HostChanged EventKind = "host changed" // a host's state or incarnation changed
+	ItemChanged EventKind = "item changed" // an item has a newer version
+	NameTaken   EventKind = "name taken"   // a newer host uses this host's name
+	ZoneCut     EventKind = "zone cut off"
+	ZoneHealed  EventKind = "zone healed"
+	Paused      EventKind = "paused" // this host did not run for a while
+)
 
-// Expire marks hosts as dead that have been silent for too long.
-func (d *Directory) Expire(now time.Time) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for name, s := range d.seen {
-		if s.host.State == model.Alive && now.Sub(s.at) > deadAfter {
-			s.host.State = model.Dead
-			d.seen[name] = s
-		}
-	}
+// Event is something that the owner of the core may act on.
+type Event struct {
+	Kind EventKind
+	Host model.Host
+	Item Item
+	Zone string
 }
 
-// Replace takes over the list of another directory.
-func (d *Directory) Replace(hosts []model.Host, now time.Time) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.seen = make(map[string]sighting, len(hosts))
-	for _, h := range hosts {
-		d.seen[h.Name] = sighting{host: h, at: now}
-	}
+// Packet is a message to be sent to a gossip address.
+type Packet struct {
+	To      string
+	Message *Message
 }
 
-// Hosts returns the known hosts in the order of their names.
-func (d *Directory) Hosts() []model.Host {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	hosts := make([]model.Host, 0, len(d.seen))
-	for _, s := range d.seen {
-		hosts = append(hosts, s.host)
-	}
-	slices.SortFunc(hosts, func(a, b model.Host) int { return strings.Compare(a.Name, b.Name) })
-	return hosts
+// Output is the result of one step.
+type Output struct {
+	Send   []Packet
+	Events []Event
 }
--- /dev/null
+++ b/internal/member/message.go
@@ -0,0 +1,169 @@
+package member
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"greengagequay/internal/fault"
+	"greengagequay/internal/model"
+)
+
+// Kind is the kind of a message.
+type Kind uint8
+
+// The kinds of messages.
+const (
+	Ping     Kind = iota + 1 // asks for an Ack
+	Ack                      // answers a Ping, or a PingReq whose probe was answered
+	PingReq                  // asks to probe Target
+	Digest                   // digests of all zones
+	Parts                    // digests of the slices of one zone
+	Versions                 // versions of one slice of a zone
+	Records                  // records that the receiver asked for or lacks
+	Want                     // asks for the records with the listed hashes
+	Report                   // progress of a zone, from a bridge to the leading control host
+	Answer                   // answers a Report with a Beacon
+	News                     // carries records that are to be spread
+)
+
+// Message is one datagram between hosts.
+type Message struct {
+	Kind     Kind         `cbor:"1,keyasint"`
+	From     string       `cbor:"2,keyasint,omitempty"` // name of the sender
+	Seq      uint64       `cbor:"3,keyasint,omitempty"` // of a probe
+	Target   string       `cbor:"4,keyasint,omitempty"` // host to probe
+	Zone     string       `cbor:"5,keyasint,omitempty"` // that Parts, Versions and Report describe
+	Slice    int          `cbor:"6,keyasint,omitempty"` // that Versions describes
+	Hosts    []HostRecord `cbor:"7,keyasint,omitempty"`
+	Items    []Item       `cbor:"8,keyasint,omitempty"`
+	Zones    []ZoneDigest `cbor:"9,keyasint,omitempty"`
+	Slices   []uint32     `cbor:"10,keyasint,omitempty"`
+	Versions []Version    `cbor:"11,keyasint,omitempty"`
+	Wanted   []uint32     `cbor:"12,keyasint,omitempty"` // hashes of keys
+	Beacon   *Beacon      `cbor:"13,keyasint,omitempty"`
+	Progress *Progress    `cbor:"14,keyasint,omitempty"`
+	Summary  *Summary     `cbor:"15,keyasint,omitempty"`
+	Cut      []string     `cbor:"16,keyasint,omitempty"` // zones that the sender, a bridge, cannot reach
+	Bridge   bool         `cbor:"17,keyasint,omitempty"` // the sender is a bridge, so that Cut counts
+}
+
+// HostRecord is what is known of a host. The higher version counts, then the
+// higher state.
+type HostRecord struct {
+	_        struct{} `cbor:",toarray"`
+	Name     string
+	Zone     string
+	Roles    uint8
+	Version  uint64 // incarnation and number of refutations
+	State    uint8
+	RPC      string
+	Gossip   string
+	Relay    string
+	Accusers []string // hosts whose probes failed, of a suspicion or a death
+}
+
+// Item is a versioned record that another package publishes. The higher
+// version counts, then the larger body.
+type Item struct {
+	_       struct{} `cbor:",toarray"`
+	Key     string
+	Zone    string
+	Version uint64
+	Gone    bool // the item is a tombstone
+	Body    []byte
+}
+
+// ZoneDigest is the digest of all live records of a zone.
+type ZoneDigest struct {
+	_    struct{} `cbor:",toarray"`
+	Zone string
+	Sum  uint32
+}
+
+// Version is the version of one record.
+type Version struct {
+	_       struct{} `cbor:",toarray"`
+	Key     uint32   // hash of the key
+	Version uint64
+}
+
+// Ranks of states in records.
+const (
+	rankAlive uint8 = iota
+	rankSuspect
+	rankDead
+	rankLeft
+)
+
+// Bits of HostRecord.Roles.
+const (
+	roleEntry uint8 = 1 << iota
+	roleControl
+)
+
+var states = []model.HostState{model.Alive, model.Suspect, model.Dead, model.Left}
+
+func (r *HostRecord) live() bool { return r.State <= rankSuspect }
+
+func (r *HostRecord) incarnation() uint64 { return r.Version >> versionShift }
+
+func (r *HostRecord) size() int {
+	n := 20 + len(r.Name) + len(r.Zone) + len(r.RPC) + len(r.Gossip) + len(r.Relay)
+	for _, a := range r.Accusers {
+		n += 2 + len(a)
+	}
+	return n
+}
+
+func (i *Item) size() int { return 20 + len(i.Key) + len(i.Zone) + len(i.Body) }
+
+// Encode returns the datagram of a message.
+func Encode(m *Message) ([]byte, error) {
+	data, err := cbor.Marshal(m)
+	if err != nil {
+		return nil, fmt.Errorf("encode gossip message: %w", err)
+	}
+	if len(data) > MaxDatagram {
+		return nil, fault.New(fault.Internal, "report a defect", "gossip message of %d bytes exceeds a datagram", len(data))
+	}
+	return data, nil
+}
+
+var decoder = newDecoder()
+
+func newDecoder() cbor.DecMode {
+	limits := cbor.DecOptions{MaxArrayElements: MaxDatagram, MaxMapPairs: 64, MaxNestedLevels: 8}
+	mode, err := limits.DecMode()
+	if err != nil {
+		panic(err) // the options are constants
+	}
+	return mode
+}
+
+// Decode parses a datagram and checks what the core relies on.
+func Decode(data []byte) (*Message, error) {
+	var m Message
+	if len(data) > MaxDatagram {
+		return nil, fault.New(fault.Invalid, "check which host sends it", "gossip datagram has %d bytes, more than %d", len(data), MaxDatagram)
+	}
+	if err := decoder.Unmarshal(data, &m); err != nil {
+		return nil, fault.New(fault.Invalid, "check which host sends it", "decode gossip datagram: %w", err)
+	}
+	return &m, m.check()
+}
+
+func (m *Message) check() error {
+	ok := m.Kind >= Ping && m.Kind <= News && m.From != "" && m.Slice >= 0 && m.Slice < parts
+	for i := range m.Hosts {
+		r := &m.Hosts[i]
+		ok = ok && r.Name != "" && r.Zone != "" && r.State <= rankLeft
+	}
+	for i := range m.Items {
+		ok = ok && m.Items[i].Key != "" && m.Items[i].Zone != ""
+	}
+	if !ok {
+		return fault.New(fault.Invalid, "check which host sends it", "gossip message of kind %d has a field out of range", m.Kind)
+	}
+	return nil
+}
