--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,18 +11,21 @@
 	"sync/atomic"
 	"time"
 
+	"greengagequay/internal/access"
 	"greengagequay/internal/api"
 	"greengagequay/internal/apiserver"
 	"greengagequay/internal/clock"
 	"greengagequay/internal/config"
 	"greengagequay/internal/control"
 	"greengagequay/internal/entry"
+	"greengagequay/internal/follow"
 	"greengagequay/internal/logs"
 	"greengagequay/internal/member"
 	"greengagequay/internal/metrics"
 	"greengagequay/internal/model"
 	"greengagequay/internal/registry"
 	"greengagequay/internal/replica"
+	"greengagequay/internal/request"
 	"greengagequay/internal/rpc"
 )
 
@@ -39,13 +42,20 @@
 	log          *logs.Part
 	incarnation  uint64
 	controlBytes atomic.Int64
+	freshness    follow.Freshness
+	tokens       *access.Tokens // nil lets everyone in
 	registry     *registry.Registry
+	reports      flowReports
 	server       *rpc.Server
 	client       *rpc.Client
-	commits      *control.FileLog // nil unless a control host
+	commits      *control.Host // nil unless a control host
+	transport    *control.RPCTransport
 	api          *http.Server
 	requests     *http.Server
 	streams      []*entry.Stream
+	flows        *flows       // nil unless an entry host
+	leaving      atomic.Bool  // set once the host has begun to shut down
+	lastAnswer   atomic.Int64 // when the last answered report was sent, Unix milliseconds
 	cancel       context.CancelFunc
 	background   sync.WaitGroup
 }
@@ -68,13 +78,16 @@
 		incarnation: uint64(c.Now().UnixMicro()),
 		registry:    registry.New(),
 	}
-	d.client = rpc.NewClient(&d.controlBytes)
-	d.server = rpc.NewServer(b.rpc, &d.controlBytes)
+	if err := d.secure(); err != nil {
+		b.Close()
+		return nil, err
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
 	if err := d.start(ctx); err != nil {
 		cancel()
 		b.Close()
+		d.closeLog()
 		return nil, err
 	}
 	d.log.With("host", d.Config.Name).Infof("started in zone %s", d.Config.Zone)
@@ -87,16 +100,19 @@
 			return err
 		}
 	}
-	if err := d.server.Register("State", &stateService{replica: d.Replica}); err != nil {
+	if err := d.server.Register("State", &stateService{d: d}); err != nil {
 		return err
 	}
 	d.run(d.server.Serve)
 	if !d.Config.Has(config.Control) {
-		d.run(func() { d.follow(ctx) })
+		d.startFollow(ctx)
 	}
 	d.startMembers(ctx)
 	if d.Config.Has(config.Entry) {
-		d.startFlows(ctx)
+		if err := d.startFlows(ctx); err != nil {
+			return err
+		}
+		d.run(func() { d.reportFlows(ctx) })
 		d.startRequests(ctx)
 		d.startStreams()
 	}
@@ -117,7 +133,7 @@
 func (d *Daemon) startAPI() error {
 	handler := &apiserver.Server{
 		Name: d.Config.Name, Zone: d.Config.Zone, Replica: d.Replica,
-		Members: d.Members, Submit: d, Clock: d.clock,
+		Members: d.Members, Submit: d, Control: d, Clock: d.clock,
 	}
 	server, err := api.NewServer(handler)
 	if err != nil {
@@ -126,7 +142,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", d.Metrics)
 	mux.Handle("/", server)
-	d.api = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	d.api = &http.Server{Handler: d.tokens.Guard(mux, request.WriteError), ReadHeaderTimeout: headerTimeout}
 	d.run(func() { d.serveHTTP(d.api, d.bound.api) })
 	return nil
 }
@@ -152,6 +168,10 @@
 		errs = append(errs, d.requests.Shutdown(ctx))
 	}
 	d.waitStreams(ctx)
+	d.leaveFlows(ctx)
+	if d.commits != nil {
+		d.commits.HandOver(ctx)
+	}
 	errs = append(errs, d.api.Shutdown(ctx))
 	d.Kill()
 	return errors.Join(errs...)
@@ -168,14 +188,16 @@
 	d.server.Close()
 	d.client.Close()
 	d.background.Wait()
-	if d.commits != nil {
-		_ = d.commits.Close()
-	}
+	d.closeLog()
 }
 
 // self describes this host to the others.
 func (d *Daemon) self() model.Host {
 	relay, _ := netip.ParseAddrPort(d.Config.Relay)
+	hostState := model.Alive
+	if d.leaving.Load() {
+		hostState = model.Leaving
+	}
 	return model.Host{
 		Name:        d.Config.Name,
 		Zone:        d.Config.Zone,
@@ -185,7 +207,7 @@
 		RPC:         d.Config.RPC,
 		Gossip:      d.Config.Gossip,
 		Relay:       relay,
-		State:       model.Alive,
+		State:       hostState,
 		Revision:    d.Replica.Revision(),
 	}
 }
