Refuse names that stand twice in settings files

Cause: a second "bootstrap" in a sample file was accepted in silence; the JSON decoder keeps the last value and loses the others. Change: internal/jsonc decodes JSON with comments strictly, for the settings of a process, tokens and files of settings, which each did it by themselves.

--- a/internal/access/tokens.go
+++ b/internal/access/tokens.go
@@ -1,18 +1,15 @@
 package access
 
 import (
-	"bytes"
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
-	"encoding/json"
 	"net/http"
 	"os"
 	"strings"
 
-	"github.com/tailscale/hujson"
-
 	"greengagequay/internal/fault"
+	"greengagequay/internal/jsonc"
 )
 
 // Right is what a token allows.
@@ -49,14 +46,8 @@
 
 // ParseTokens parses a JSON list of tokens with comments.
 func ParseTokens(data []byte) (*Tokens, error) {
-	plain, err := hujson.Standardize(data)
-	if err != nil {
-		return nil, fault.New(fault.Invalid, "mend the JSON at that place", "parse tokens: %w", err)
-	}
-	dec := json.NewDecoder(bytes.NewReader(plain))
-	dec.DisallowUnknownFields()
 	t := &Tokens{}
-	if err := dec.Decode(&t.tokens); err != nil {
+	if err := jsonc.Decode(data, &t.tokens); err != nil {
 		return nil, fault.New(fault.Invalid, `write [{"name": ..., "sha256": ..., "rights": ["read"]}]`, "parse tokens: %w", err)
 	}
 	for _, token := range t.tokens {
--- a/internal/cli/files.go
+++ b/internal/cli/files.go
@@ -1,7 +1,6 @@
 package cli
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -12,6 +11,7 @@
 
 	"greengagequay/internal/api"
 	"greengagequay/internal/fault"
+	"greengagequay/internal/jsonc"
 )
 
 // valueTree is the form of a file of settings: {path: {key: value}}.
@@ -45,12 +45,8 @@
 
 // parseTree parses a file of settings. The value null unsets a key.
 func parseTree(data []byte) (valueTree, error) {
-	plain, err := hujson.Standardize(bytes.Clone(data)) // Standardize blanks comments in place
-	if err != nil {
-		return nil, fault.New(fault.Invalid, "mend the JSON at that place", "parse settings: %w", err)
-	}
 	var tree valueTree
-	if err := json.Unmarshal(plain, &tree); err != nil {
+	if err := jsonc.Decode(data, &tree); err != nil {
 		return nil, fault.New(fault.Invalid, `write {"/service": {"key": value}}`, "parse settings: %w", err)
 	}
 	return tree, nil
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -3,8 +3,6 @@
 package config
 
 import (
-	"bytes"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/netip"
@@ -12,10 +10,9 @@
 	"slices"
 	"strings"
 
-	"github.com/tailscale/hujson"
-
 	"greengagequay/internal/access"
 	"greengagequay/internal/fault"
+	"greengagequay/internal/jsonc"
 )
 
 // Role is a part that a process plays.
@@ -74,15 +71,9 @@
 
 // Parse parses and checks settings.
 func Parse(data []byte) (Config, error) {
-	plain, err := hujson.Standardize(data)
-	if err != nil {
-		return Config{}, fault.New(fault.Invalid, "mend the JSON at that place", "parse settings: %w", err)
-	}
-	dec := json.NewDecoder(bytes.NewReader(plain))
-	dec.DisallowUnknownFields()
 	c := Config{Log: Log{Level: "info", Format: "text"}}
-	if err := dec.Decode(&c); err != nil {
-		return Config{}, fault.New(fault.Invalid, "remove or mend the field; README.md lists all fields", "parse settings: %w", err)
+	if err := jsonc.Decode(data, &c); err != nil {
+		return Config{}, fault.New(fault.Invalid, "mend the field; docs/operators/install.md lists all fields", "parse settings: %w", err)
 	}
 	return c, c.Check()
 }
