Run gossip membership on UDP in place of reports to every control host

Cause: the thin directory trusted whichever control host answered, lost every host at its restart, and its leases did not ask for a quorum. Change: internal/gossip runs the core on a socket, with datagrams authenticated by a shared key; leases come from beacons of the leading control host; a host that shuts down is seen as leaving, then left. The field gossip is needed, gossipKeyFile is new, the demonstration names seeds.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -29,23 +29,24 @@
 
 // Config holds the settings of one process.
 type Config struct {
-	Name      string            `json:"name"`      // unique name of the host
-	Zone      string            `json:"zone"`      // availability zone
-	Roles     []Role            `json:"roles"`     // entry, control or both
-	Data      string            `json:"data"`      // data folder, needed by control
-	RPC       string            `json:"rpc"`       // TCP IP:port for calls between hosts
-	Gossip    string            `json:"gossip"`    // UDP IP:port for gossip between hosts
-	API       string            `json:"api"`       // TCP IP:port for operators, announcements and metrics
-	Packets   string            `json:"packets"`   // UDP IP:port for packets from the fabric
-	Relay     string            `json:"relay"`     // UDP IP:port for packets from other entry hosts
-	Requests  string            `json:"requests"`  // TCP IP:port for HTTP requests of callers
-	Listeners map[string]string `json:"listeners"` // TCP IP:port for plain connections, by service
-	Control   []Peer            `json:"control"`   // the control hosts
-	Bootstrap bool              `json:"bootstrap"` // the first control host starts a new log with all of them
-	Seeds     []string          `json:"seeds"`     // gossip addresses of hosts to join through
-	TLS       access.Files      `json:"tls"`       // certificates for RPC (mutual) and API; empty is plain
-	Tokens    string            `json:"tokens"`    // file of API tokens; empty lets everyone in
-	Log       Log               `json:"log"`
+	Name          string            `json:"name"`          // unique name of the host
+	Zone          string            `json:"zone"`          // availability zone
+	Roles         []Role            `json:"roles"`         // entry, control or both
+	Data          string            `json:"data"`          // data folder, needed by control
+	RPC           string            `json:"rpc"`           // TCP IP:port for calls between hosts
+	Gossip        string            `json:"gossip"`        // UDP IP:port for gossip between hosts
+	API           string            `json:"api"`           // TCP IP:port for operators, announcements and metrics
+	Packets       string            `json:"packets"`       // UDP IP:port for packets from the fabric
+	Relay         string            `json:"relay"`         // UDP IP:port for packets from other entry hosts
+	Requests      string            `json:"requests"`      // TCP IP:port for HTTP requests of callers
+	Listeners     map[string]string `json:"listeners"`     // TCP IP:port for plain connections, by service
+	Control       []Peer            `json:"control"`       // the control hosts
+	Bootstrap     bool              `json:"bootstrap"`     // the first control host starts a new log with all of them
+	Seeds         []string          `json:"seeds"`         // gossip addresses of hosts to join through
+	TLS           access.Files      `json:"tls"`           // certificates for RPC (mutual) and API; empty is plain
+	GossipKeyFile string            `json:"gossipKeyFile"` // file of the key that all hosts authenticate gossip with; empty authenticates nothing
+	Tokens        string            `json:"tokens"`        // file of API tokens; empty lets everyone in
+	Log           Log               `json:"log"`
 }
 
 // Peer is another host.
@@ -95,7 +96,7 @@
 	ck.roles(c.Roles)
 	ck.addr("rpc", c.RPC, true)
 	ck.addr("api", c.API, true)
-	ck.addr("gossip", c.Gossip, false)
+	ck.addr("gossip", c.Gossip, true)
 	entry := c.Has(Entry)
 	ck.addr("packets", c.Packets, entry)
 	ck.addr("relay", c.Relay, entry)
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -81,10 +81,3 @@
 func (s *controlService) Announce(b model.Backend, _ *struct{}) error {
 	return rpc.EncodeError(s.d.registry.Announce(b, s.d.clock.Now()))
 }
-
-// Report takes a host's report and answers with all hosts.
-func (s *controlService) Report(h model.Host, out *[]model.Host) error {
-	s.d.Members.Heard(h, s.d.clock.Now())
-	*out = s.d.Members.Hosts()
-	return nil
-}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,8 +19,8 @@
 	"greengagequay/internal/control"
 	"greengagequay/internal/entry"
 	"greengagequay/internal/follow"
+	"greengagequay/internal/gossip"
 	"greengagequay/internal/logs"
-	"greengagequay/internal/member"
 	"greengagequay/internal/metrics"
 	"greengagequay/internal/model"
 	"greengagequay/internal/registry"
@@ -34,7 +34,7 @@
 	Config  config.Config
 	Replica *replica.Replica
 	Metrics *metrics.Registry
-	Members *member.Directory
+	Members *gossip.Node
 
 	bound        *Bound
 	clock        clock.Clock
@@ -53,9 +53,7 @@
 	api          *http.Server
 	requests     *http.Server
 	streams      []*entry.Stream
-	flows        *flows       // nil unless an entry host
-	leaving      atomic.Bool  // set once the host has begun to shut down
-	lastAnswer   atomic.Int64 // when the last answered report was sent, Unix milliseconds
+	flows        *flows // nil unless an entry host
 	cancel       context.CancelFunc
 	background   sync.WaitGroup
 }
@@ -70,7 +68,6 @@
 		Config:      b.Config,
 		Replica:     replica.New(),
 		Metrics:     metrics.New(),
-		Members:     member.NewDirectory(),
 		bound:       b,
 		clock:       c,
 		logs:        l,
@@ -82,6 +79,10 @@
 		b.Close()
 		return nil, err
 	}
+	if err := d.openMembers(); err != nil {
+		b.Close()
+		return nil, err
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
 	if err := d.start(ctx); err != nil {
@@ -100,6 +101,7 @@
 			return err
 		}
 	}
+	d.startMembers(ctx)
 	if err := d.server.Register("State", &stateService{d: d}); err != nil {
 		return err
 	}
@@ -107,7 +109,6 @@
 	if !d.Config.Has(config.Control) {
 		d.startFollow(ctx)
 	}
-	d.startMembers(ctx)
 	if d.Config.Has(config.Entry) {
 		if err := d.startFlows(ctx); err != nil {
 			return err
@@ -173,6 +174,7 @@
 		d.commits.HandOver(ctx)
 	}
 	errs = append(errs, d.api.Shutdown(ctx))
+	d.Members.Leave()
 	d.Kill()
 	return errors.Join(errs...)
 }
@@ -194,10 +196,6 @@
 // self describes this host to the others.
 func (d *Daemon) self() model.Host {
 	relay, _ := netip.ParseAddrPort(d.Config.Relay)
-	hostState := model.Alive
-	if d.leaving.Load() {
-		hostState = model.Leaving
-	}
 	return model.Host{
 		Name:        d.Config.Name,
 		Zone:        d.Config.Zone,
@@ -207,7 +205,7 @@
 		RPC:         d.Config.RPC,
 		Gossip:      d.Config.Gossip,
 		Relay:       relay,
-		State:       hostState,
+		State:       model.Alive,
 		Revision:    d.Replica.Revision(),
 	}
 }
--- a/internal/daemon/flows.go
+++ b/internal/daemon/flows.go
@@ -23,10 +23,7 @@
 	maxRecords     = 1 << 20
 	flowInterval   = 100 * time.Millisecond // between two steps of the keeper
 	expireInterval = time.Second
-	// hostLease is shorter than the silence after which the controllers stop
-	// to wait for a host, so that the host knows first.
-	hostLease  = 1500 * time.Millisecond
-	leaveLimit = 5 * time.Second // longest hand-over of a host that leaves
+	leaveLimit     = 5 * time.Second // longest hand-over of a host that leaves
 )
 
 // flows is the flow part of an entry host.
@@ -177,7 +174,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, leaveLimit)
 	defer cancel()
-	d.leaving.Store(true)
+	d.Members.Leaving()
 	for ctx.Err() == nil && !d.handedOver() {
 		d.pause(ctx, flowInterval)
 	}
--- a/internal/daemon/flowviews.go
+++ b/internal/daemon/flowviews.go
@@ -48,7 +48,7 @@
 // refresh notes whether the host's lease has run out. Once it is renewed, the
 // records of the time before count.
 func (c *viewCache) refresh(now time.Time) {
-	out := c.d.leaseOut(now)
+	out := c.d.leaseOut()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if out {
@@ -90,9 +90,9 @@
 	return func(h table.Host) bool { return alive[h.Name] }
 }
 
-// leaseOut reports whether no control host has answered this host for longer
-// than its lease. A control host has its lease from itself.
-func (d *Daemon) leaseOut(now time.Time) bool {
-	last := d.lastAnswer.Load()
-	return d.commits == nil && last != 0 && now.Sub(time.UnixMilli(last)) > hostLease
+// leaseOut reports whether the lease that this host had from the control
+// quorum has run out.
+func (d *Daemon) leaseOut() bool {
+	l := d.Members.Lease()
+	return l.Held && l.Expired
 }
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -2,35 +2,47 @@
 
 import (
 	"context"
-	"time"
+	mathrand "math/rand/v2"
+	"net/netip"
 
+	"greengagequay/internal/gossip"
 	"greengagequay/internal/model"
 )
 
-// reportInterval is the time between two reports to the control hosts.
-const reportInterval = 500 * time.Millisecond
+// openMembers sets up this host as a member. It does not gossip yet.
+func (d *Daemon) openMembers() error {
+	log := d.logs.Part("members")
+	var key gossip.Key
+	if d.Config.GossipKeyFile != "" {
+		var err error
+		if key, err = gossip.LoadKey(d.Config.GossipKeyFile); err != nil {
+			return err
+		}
+	} else if addr, err := netip.ParseAddrPort(d.Config.Gossip); err == nil && !addr.Addr().IsLoopback() {
+		log.Warnf("gossip at %s is not authenticated; set gossipKeyFile", addr)
+	}
+	d.Members = gossip.New(gossip.Options{
+		Conn: d.bound.gossip, Key: key, Self: d.self(), Seeds: d.Config.Seeds,
+		Clock: d.clock, Rand: mathrand.New(mathrand.NewPCG(randomUint64(), randomUint64())),
+		Metrics: d.Metrics, Log: log, Bytes: &d.controlBytes,
+		Revision: d.Replica.Revision, Leading: d.leading,
+	})
+	return nil
+}
 
 func (d *Daemon) startMembers(ctx context.Context) {
-	d.run(func() { d.report(ctx) })
+	d.run(d.Members.Receive)
+	d.run(func() { d.Members.Tick(ctx) })
 }
 
-// report tells the control hosts about this host and learns of the others.
-func (d *Daemon) report(ctx context.Context) {
-	for ctx.Err() == nil {
-		_ = d.eachControl(ctx, func(ctx context.Context, addr string) error {
-			var hosts []model.Host
-			sent := d.clock.Now()
-			if err := d.client.Call(ctx, addr, "Control.Report", d.self(), &hosts); err != nil {
-				return err
-			}
-			d.lastAnswer.Store(sent.UnixMilli())
-			if d.commits == nil {
-				d.Members.Replace(hosts, d.clock.Now())
-			}
-			return nil
-		})
-		d.pause(ctx, reportInterval)
+// leading reports whether this host leads the control hosts and a quorum of
+// them was in contact of late.
+func (d *Daemon) leading() bool {
+	if d.commits == nil {
+		return false
 	}
+	_, self := d.commits.Leader()
+	return self && d.commits.Status().Current
 }
 
 // Announce passes an announcement on to the control hosts.
--- a/internal/daemon/placement.go
+++ b/internal/daemon/placement.go
@@ -49,7 +49,6 @@
 		case <-d.clock.After(placeInterval):
 		}
 		now := d.clock.Now()
-		d.Members.Expire(now)
 		d.registry.Expire(now)
 		if _, self := d.commits.Leader(); !self {
 			planner = nil // what it remembers is out of date by the next term
@@ -96,7 +95,7 @@
 		if h.Entry {
 			in.Hosts = append(in.Hosts, place.Host{
 				Host:     h,
-				LeaseOut: h.State == model.Dead,
+				LeaseOut: d.Members.LeaseOf(h.Name).Expired,
 				Leaving:  h.State == model.Leaving,
 			})
 		}
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -74,18 +74,21 @@
 func (f *fleet) startHosts() error {
 	bounds := make([]*daemon.Bound, len(hostSpecs))
 	var peers []config.Peer
+	var seeds []string
 	for i, spec := range hostSpecs {
 		b, err := daemon.Bind(f.configOf(spec))
 		if err != nil {
 			return err
 		}
 		bounds[i] = b
+		seeds = append(seeds, b.Config.Gossip)
 		if spec.control {
 			peers = append(peers, config.Peer{Name: spec.name, RPC: b.Config.RPC})
 		}
 	}
 	for _, b := range bounds {
 		b.Config.Control = peers
+		b.Config.Seeds = seeds
 		d, err := daemon.Start(b, logs.Discard(), clock.Real{})
 		if err != nil {
 			return err
--- /dev/null
+++ b/internal/gossip/gossip.go
@@ -0,0 +1,220 @@
+// Package gossip runs the membership core on a UDP socket. It owns the socket,
+// the clock and the goroutines; every decision is the core's.
+package gossip
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"greengagequay/internal/clock"
+	"greengagequay/internal/logs"
+	"greengagequay/internal/member"
+	"greengagequay/internal/metrics"
+	"greengagequay/internal/model"
+)
+
+// headerBytes is the size of the IPv4 and UDP headers of a datagram.
+const headerBytes = 28
+
+// Options of a node.
+type Options struct {
+	Conn    *net.UDPConn
+	Key     Key
+	Self    model.Host
+	Seeds   []string // gossip addresses
+	Clock   clock.Clock
+	Rand    *rand.Rand
+	Metrics *metrics.Registry
+	Log     *logs.Part
+	Bytes   *atomic.Int64 // gets the bytes sent and received
+	// Revision returns the revision in force on this host.
+	Revision func() uint64
+	// Leading reports whether this host leads the control hosts with the
+	// contact of a quorum.
+	Leading func() bool
+	// Changed is called for each event, one at a time, without a lock held.
+	Changed func(member.Event)
+}
+
+// Node is a running member. It is safe for concurrent use.
+type Node struct {
+	Options
+	mu      sync.Mutex // guards core and changed
+	core    *member.Core
+	changed chan struct{}
+	events  sync.Mutex // serialises Changed
+	invalid gometrics.Counter
+	forged  gometrics.Counter
+	failed  gometrics.Counter
+}
+
+// New returns a node that does not run yet.
+func New(o Options) *Node {
+	return &Node{
+		Options: o,
+		core:    member.New(member.Options{Self: o.Self, Seeds: o.Seeds, Rand: o.Rand}),
+		changed: make(chan struct{}),
+		invalid: o.Metrics.Counter("gossip.invalid"),
+		forged:  o.Metrics.Counter("gossip.not_authentic"),
+		failed:  o.Metrics.Counter("gossip.not_sent"),
+	}
+}
+
+// Tick lets time pass for the core until ctx ends.
+func (n *Node) Tick(ctx context.Context) {
+	for ctx.Err() == nil {
+		revision, leading := n.Revision(), n.Leading()
+		n.do(func() member.Output {
+			n.core.SetRevision(revision)
+			n.core.SetLeading(leading)
+			return n.core.Tick(n.Clock.Now())
+		})
+		select {
+		case <-ctx.Done():
+		case <-n.Clock.After(member.TickInterval):
+		}
+	}
+}
+
+// Receive takes datagrams until the socket is closed.
+func (n *Node) Receive() {
+	buf := make([]byte, member.MaxDatagram+sealBytes+1)
+	for {
+		size, from, err := n.Conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			return
+		}
+		n.Bytes.Add(int64(size + headerBytes))
+		n.take(buf[:size], from)
+	}
+}
+
+func (n *Node) take(data []byte, from netip.AddrPort) {
+	data, ok := n.Key.Open(data)
+	if !ok {
+		n.forged.Inc(1)
+		return
+	}
+	m, err := member.Decode(data)
+	if err != nil {
+		n.invalid.Inc(1)
+		return
+	}
+	addr := netip.AddrPortFrom(from.Addr().Unmap(), from.Port()).String()
+	n.do(func() member.Output { return n.core.Step(n.Clock.Now(), addr, m) })
+}
+
+// do runs one step of the core and carries out what it returns.
+func (n *Node) do(step func() member.Output) {
+	n.events.Lock()
+	defer n.events.Unlock()
+	n.mu.Lock()
+	out := step()
+	if len(out.Events) > 0 {
+		close(n.changed)
+		n.changed = make(chan struct{})
+	}
+	n.mu.Unlock()
+	for _, p := range out.Send {
+		n.send(p)
+	}
+	for _, e := range out.Events {
+		n.note(e)
+	}
+}
+
+func (n *Node) send(p member.Packet) {
+	data, err := member.Encode(p.Message)
+	if err != nil {
+		n.Log.Errorf("%v", err)
+		return
+	}
+	to, err := netip.ParseAddrPort(p.To)
+	if err != nil {
+		n.failed.Inc(1)
+		return
+	}
+	sealed := n.Key.Seal(data)
+	if _, err := n.Conn.WriteToUDPAddrPort(sealed, to); err != nil {
+		n.failed.Inc(1)
+		return
+	}
+	n.Bytes.Add(int64(len(sealed) + headerBytes))
+}
+
+func (n *Node) note(e member.Event) {
+	switch e.Kind {
+	case member.HostChanged:
+		n.Log.With("zone", e.Host.Zone).Infof("host %s is %s", e.Host.Name, e.Host.State)
+	case member.NameTaken:
+		n.Log.Errorf("host %s at %s uses this host's name; give each host a name of its own", e.Host.Name, e.Host.Gossip)
+	case member.ZoneCut, member.ZoneHealed:
+		n.Log.Warnf("%s: %s", e.Kind, e.Zone)
+	case member.Paused:
+		n.Log.Warnf("this host did not run for a while")
+	}
+	if n.Changed != nil {
+		n.Changed(e)
+	}
+}
+
+// Hosts returns the known hosts in the order of their names.
+func (n *Node) Hosts() []model.Host {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.core.Hosts()
+}
+
+// Subscribe returns a channel that is closed at the next change of a host, an
+// item or a zone. Revisions in force change without notice.
+func (n *Node) Subscribe() <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.changed
+}
+
+// Lease returns this host's own lease.
+func (n *Node) Lease() member.Lease {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.core.Lease(n.Clock.Now())
+}
+
+// LeaseOf returns the lease of a host as the leading control host counts it.
+func (n *Node) LeaseOf(name string) member.Lease {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.core.LeaseOf(name)
+}
+
+// Publish spreads items.
+func (n *Node) Publish(items ...member.Item) {
+	if len(items) == 0 {
+		return
+	}
+	n.do(func() member.Output {
+		for _, i := range items {
+			n.core.Publish(i)
+		}
+		return n.core.Tick(n.Clock.Now())
+	})
+}
+
+// Leaving tells the others that this host hands its work over.
+func (n *Node) Leaving() {
+	n.do(func() member.Output {
+		n.core.SetLeaving()
+		return n.core.Tick(n.Clock.Now())
+	})
+}
+
+// Leave tells the others that this host ends.
+func (n *Node) Leave() {
+	n.do(func() member.Output { return n.core.Leave(n.Clock.Now()) })
+}
--- /dev/null
+++ b/internal/gossip/seal.go
@@ -0,0 +1,58 @@
+package gossip
+
+import (
+	"bytes"
+	"crypto/hmac"
+	"crypto/sha256"
+	"os"
+
+	"greengagequay/internal/fault"
+)
+
+const (
+	sealBytes   = 16 // HMAC-SHA256, truncated
+	minKeyBytes = 16
+)
+
+// Key authenticates datagrams. An empty key authenticates nothing.
+type Key []byte
+
+// LoadKey reads the key that all hosts share. White space around it does not
+// count.
+func LoadKey(file string) (Key, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fault.New(fault.Invalid, "check gossipKeyFile", "read gossip key: %w", err)
+	}
+	key := bytes.TrimSpace(data)
+	if len(key) < minKeyBytes {
+		return nil, fault.New(fault.Invalid, "use 16 random bytes or more, the same on all hosts", "gossip key in %s has %d bytes", file, len(key))
+	}
+	return key, nil
+}
+
+// Seal appends the authentication code.
+func (k Key) Seal(data []byte) []byte {
+	if len(k) == 0 {
+		return data
+	}
+	return append(data, k.code(data)...)
+}
+
+// Open checks the authentication code and removes it.
+func (k Key) Open(data []byte) ([]byte, bool) {
+	if len(k) == 0 {
+		return data, true
+	}
+	n := len(data) - sealBytes
+	if n < 0 {
+		return nil, false
+	}
+	return data[:n], hmac.Equal(data[n:], k.code(data[:n]))
+}
+
+func (k Key) code(data []byte) []byte {
+	h := hmac.New(sha256.New, k)
+	h.Write(data)
+	return h.Sum(nil)[:sealBytes]
+}
--- a/internal/member/core.go
+++ b/internal/member/core.go
@@ -37,7 +37,7 @@
 	eager    []string // records of this zone that other zones are told at once
 	next     schedule
 	beacon   beaconState
-	leaving  bool
+	stopped  bool // this host has left
 	out      Output
 	suspects map[string]*host
 }
@@ -70,6 +70,7 @@
 	c := &Core{
 		seeds: o.Seeds, rand: o.Rand,
 		hosts: map[string]*host{}, items: map[string]*item{}, zones: map[string]*zone{},
+		seq:    uint64(o.Rand.Uint32()), // answers to an earlier process must not count
 		probes: map[uint64]*probe{}, relays: map[uint64]relay{}, suspects: map[string]*host{},
 	}
 	c.rumors.init()
@@ -96,11 +97,15 @@
 
 func (h *host) model() model.Host {
 	relay, _ := netip.ParseAddrPort(h.rec.Relay)
+	state := states[h.rec.State]
+	if state == model.Alive && h.rec.Roles&roleLeaving != 0 {
+		state = model.Leaving
+	}
 	return model.Host{
 		Name: h.rec.Name, Zone: h.rec.Zone,
 		Entry: h.rec.Roles&roleEntry != 0, Control: h.rec.Roles&roleControl != 0,
 		Incarnation: h.rec.incarnation(), RPC: h.rec.RPC, Gossip: h.rec.Gossip, Relay: relay,
-		State: states[h.rec.State], Revision: h.revision,
+		State: state, Revision: h.revision,
 	}
 }
 
@@ -122,13 +127,23 @@
 // Self returns this host as the others see it.
 func (c *Core) Self() model.Host { return c.self.model() }
 
+// SetLeaving tells the others that this host hands its work over.
+func (c *Core) SetLeaving() {
+	r := c.self.rec
+	if r.Roles&roleLeaving == 0 {
+		r.Roles |= roleLeaving
+		r.Version++
+		c.putHost(r)
+	}
+}
+
 // SetRevision notes the revision that this host has put in force.
 func (c *Core) SetRevision(r uint64) { c.self.revision = max(c.self.revision, r) }
 
 // Tick does what the time calls for.
 func (c *Core) Tick(now time.Time) Output {
 	c.advance(now)
-	if !c.leaving {
+	if !c.stopped {
 		c.expireProbes()
 		c.expireSuspicions()
 		c.probeNext()
@@ -145,7 +160,7 @@
 // Step takes a message that arrived from the given gossip address.
 func (c *Core) Step(now time.Time, from string, m *Message) Output {
 	c.advance(now)
-	if c.leaving || m.From == c.self.rec.Name {
+	if c.stopped || m.From == c.self.rec.Name {
 		return c.flush()
 	}
 	c.mergeAll(from, m)
@@ -186,7 +201,7 @@
 	for _, h := range told {
 		c.sendRaw(h.rec.Gossip, &Message{Kind: News, Hosts: []HostRecord{r}})
 	}
-	c.leaving = true
+	c.stopped = true
 	return c.flush()
 }
 
--- a/internal/member/lease.go
+++ b/internal/member/lease.go
@@ -9,13 +9,13 @@
 
 // Times of leases.
 const (
-	minReport  = 300 * time.Millisecond // between reports of a zone
+	minReport  = 150 * time.Millisecond // between reports of a zone
 	zoneReport = 60 * time.Millisecond  // the same, for each zone of the fleet
-	leaseBase  = 3 * time.Second
+	leaseBase  = 2 * time.Second
 	leaseSteps = 6 // reports that a lease outlives
 	keptSights = 64
-	leaseSlack = time.Second // the control quorum waits longer than the host
-	maxBehind  = 2           // late hosts named in a beacon
+	leaseSlack = 500 * time.Millisecond // the control quorum waits longer than the host
+	maxBehind  = 2                      // late hosts named in a beacon
 )
 
 // Lease tells how long ago a host was last known to be in contact with the
@@ -23,6 +23,7 @@
 type Lease struct {
 	Age     time.Duration
 	Length  time.Duration
+	Held    bool // the host has had a lease since it started
 	Expired bool
 }
 
@@ -277,12 +278,13 @@
 
 // Lease returns this host's own lease. A host that has none is detached: it
 // must not count on the table being in force.
-func (c *Core) Lease() Lease {
+func (c *Core) Lease(now time.Time) Lease {
 	b := &c.beacon
 	if !b.held {
 		return Lease{Expired: true}
 	}
-	l := Lease{Age: c.elapsed - b.start, Length: time.Duration(b.newest.LeaseMS) * time.Millisecond}
+	age := c.elapsed - b.start + max(0, now.Sub(c.last))
+	l := Lease{Held: true, Age: age, Length: time.Duration(b.newest.LeaseMS) * time.Millisecond}
 	l.Expired = l.Age >= l.Length
 	return l
 }
@@ -290,7 +292,7 @@
 // LeaseOf returns the lease of a host as this host, which leads the control
 // hosts, counts it. Unless it leads, no lease counts as expired.
 func (c *Core) LeaseOf(name string) Lease {
-	l := Lease{Length: c.leaseLength() + leaseSlack}
+	l := Lease{Held: true, Length: c.leaseLength() + leaseSlack}
 	h := c.hosts[name]
 	if h == nil || !c.beacon.leading {
 		return l
--- a/internal/member/message.go
+++ b/internal/member/message.go
@@ -100,6 +100,7 @@
 const (
 	roleEntry uint8 = 1 << iota
 	roleControl
+	roleLeaving // hands its work over
 )
 
 var states = []model.HostState{model.Alive, model.Suspect, model.Dead, model.Left}
--- a/internal/member/record.go
+++ b/internal/member/record.go
@@ -33,7 +33,7 @@
 	z.addHost(h)
 	c.noteSuspicion(h, old)
 	c.spreadHost(h)
-	if old.State != r.State || old.incarnation() != r.incarnation() || old.Name == "" {
+	if old.State != r.State || old.Roles != r.Roles || old.incarnation() != r.incarnation() || old.Name == "" {
 		c.event(Event{Kind: HostChanged, Host: h.model()})
 	}
 }
