--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -68,18 +68,20 @@
 func (f *Fleet) startHosts() error {
 	bounds := make([]*daemon.Bound, len(f.Hosts))
 	var peers []config.Peer
+	var seeds []string
 	for i, spec := range f.Hosts {
 		b, err := daemon.Bind(f.configOf(spec))
 		if err != nil {
 			return err
 		}
 		bounds[i] = b
+		seeds = append(seeds, b.Config.Gossip)
 		if spec.Control {
 			peers = append(peers, config.Peer{Name: spec.Name, RPC: b.Config.RPC})
 		}
 	}
 	for _, b := range bounds {
-		b.Config.Control = peers
+		b.Config.Control, b.Config.Seeds = peers, seeds
 		d, err := daemon.Start(b, logs.Discard(), clock.Real{})
 		if err != nil {
 			return err
