--- a/internal/daemon/flows.go
+++ b/internal/daemon/flows.go
@@ -10,8 +10,6 @@
 	"greengagequay/internal/records"
 	"greengagequay/internal/route"
 	"greengagequay/internal/rpc"
-	"greengagequay/internal/settings"
-	"greengagequay/internal/state"
 	"greengagequay/internal/table"
 )
 
@@ -35,6 +33,7 @@
 	router    *route.Router
 	forwarder *entry.Forwarder
 	views     viewCache
+	times     flowTimes
 
 	mu     sync.Mutex // guards keeper
 	keeper *route.Keeper
@@ -42,16 +41,17 @@
 
 func (d *Daemon) startFlows(ctx context.Context) error {
 	f := &flows{d: d, router: route.NewRouter(maxRecords)}
-	f.keeper = route.NewKeeper(f.router, f.idle)
+	f.times.refresh(d)
+	f.keeper = route.NewKeeper(f.router, f.times.idle)
 	f.views.init(d, f.router)
 	f.forwarder = entry.NewForwarder(entry.Options{
-		Fabric:  entry.NewUDPFabric(d.bound.packets),
-		Relay:   entry.NewUDPFabric(d.bound.relay),
-		Router:  f.router,
-		Stalls:  route.NewStalls(f.stallTimeout()),
-		View:    f.views.view,
-		Now:     d.clock.Now,
-		Metrics: d.Metrics,
+		Fabric:       entry.NewUDPFabric(d.bound.packets),
+		Relay:        entry.NewUDPFabric(d.bound.relay),
+		Router:       f.router,
+		StallTimeout: f.times.stall,
+		View:         f.views.view,
+		Now:          d.clock.Now,
+		Metrics:      d.Metrics,
 	})
 	d.flows = f
 	if err := d.server.Register("Flows", &flowService{f: f}); err != nil {
@@ -65,18 +65,6 @@
 	return nil
 }
 
-func (f *flows) idle(service string) (t time.Duration) {
-	f.d.Replica.Read(func(s *state.State) {
-		t = s.Tree.Duration(settings.Path(service), settings.FlowIdleTimeout)
-	})
-	return t
-}
-
-func (f *flows) stallTimeout() (t time.Duration) {
-	f.d.Replica.Read(func(s *state.State) { t = s.Tree.Duration("/", settings.FlowStallTimeout) })
-	return t
-}
-
 // keep copies records to backups and forgets idle flows until ctx ends.
 func (f *flows) keep(ctx context.Context) {
 	size := f.d.Metrics.Gauge("flows.records")
@@ -93,6 +81,7 @@
 		}
 		if now.Sub(expired) >= expireInterval {
 			expired = now
+			f.times.refresh(f.d)
 			f.expire()
 		}
 		size.Update(int64(f.router.Records.Len()))
@@ -104,15 +93,11 @@
 
 func (f *flows) expire() {
 	view := f.views.view()
-	idle := map[string]records.Seconds{}
-	for name := range view.Table.ByName {
-		idle[name] = records.Seconds(f.idle(name) / time.Second)
-	}
 	f.router.Records.Expire(f.forwarder.Seconds(), func(n table.BackendNum, flags records.Flag) records.Seconds {
 		if flags&records.Closing != 0 {
 			return closingIdle
 		}
-		return idle[view.Table.Backends[n].Service]
+		return records.Seconds(f.times.idle(view.Table.Backends[n].Service) / time.Second)
 	})
 }
 
--- a/internal/entry/packets.go
+++ b/internal/entry/packets.go
@@ -15,32 +15,34 @@
 
 // Forwarder routes packets of the fabric and of other entry hosts.
 type Forwarder struct {
-	fabric Fabric
-	relay  Fabric // between entry hosts
-	router *route.Router
-	stalls *route.Stalls
-	view   func() *route.View
-	now    func() time.Time
-	epoch  time.Time
-	counts packetCounts
-	open   openFlows
+	fabric       Fabric
+	relay        Fabric // between entry hosts
+	router       *route.Router
+	stalls       *route.Stalls
+	stallTimeout func(string) time.Duration
+	view         func() *route.View
+	now          func() time.Time
+	epoch        time.Time
+	counts       packetCounts
+	open         openFlows
 }
 
 // Options of a forwarder.
 type Options struct {
-	Fabric  Fabric // between fabric and backend servers
-	Relay   Fabric // between entry hosts
-	Router  *route.Router
-	Stalls  *route.Stalls
-	View    func() *route.View // view in force
-	Now     func() time.Time
-	Metrics *metrics.Registry
+	Fabric Fabric // between fabric and backend servers
+	Relay  Fabric // between entry hosts
+	Router *route.Router
+	// StallTimeout returns how long a flow of a service may repeat itself.
+	StallTimeout func(service string) time.Duration
+	View         func() *route.View // view in force
+	Now          func() time.Time
+	Metrics      *metrics.Registry
 }
 
 // NewForwarder returns a forwarder between the fabric and backend servers.
 func NewForwarder(o Options) *Forwarder {
 	return &Forwarder{
-		fabric: o.Fabric, relay: o.Relay, router: o.Router, stalls: o.Stalls,
+		fabric: o.Fabric, relay: o.Relay, router: o.Router, stalls: route.NewStalls(), stallTimeout: o.StallTimeout,
 		view: o.View, now: o.Now, epoch: o.Now(), counts: newPacketCounts(o.Metrics),
 	}
 }
@@ -95,9 +97,6 @@
 	view := f.view()
 	w.header = route.Header{Source: from}
 	verdict := f.router.Route(f.Seconds(), view, &w.packet, &w.header)
-	if f.stalls.Seen(f.now(), verdict.Flow, &w.packet) {
-		verdict = route.Verdict{Action: route.Reset, Reason: route.Stalled, Flow: verdict.Flow}
-	}
 	w.act(view, verdict, data, from)
 }
 
@@ -144,6 +143,10 @@
 		w.reset(route.Undeliverable(v.Flow), source)
 		return
 	}
+	if w.f.stalls.Seen(w.f.now(), w.f.stallTimeout(backend.Service), v.Flow, &w.packet) {
+		w.reset(route.Verdict{Action: route.Reset, Reason: route.Stalled, Flow: v.Flow}, source)
+		return
+	}
 	if err := w.f.fabric.Send(backend.Packet, data); err != nil {
 		w.f.counts.failed.Inc(1)
 		return
--- a/internal/route/stalls.go
+++ b/internal/route/stalls.go
@@ -20,9 +20,8 @@
 // keeps the last data packet of a bounded number of flows; a flow that is
 // displaced by another is watched anew. It is safe for concurrent use.
 type Stalls struct {
-	timeout time.Duration
-	locks   [stallLocks]sync.Mutex
-	slots   []stallSlot
+	locks [stallLocks]sync.Mutex
+	slots []stallSlot
 }
 
 type stallSlot struct {
@@ -31,14 +30,14 @@
 	since    int64 // Unix nanoseconds of the first such packet
 }
 
-// NewStalls returns a detector that reports a flow after it has repeated
-// itself for the timeout.
-func NewStalls(timeout time.Duration) *Stalls {
-	return &Stalls{timeout: timeout, slots: make([]stallSlot, stallSlots)}
+// NewStalls returns a detector.
+func NewStalls() *Stalls {
+	return &Stalls{slots: make([]stallSlot, stallSlots)}
 }
 
-// Seen notes a packet and reports whether its flow has stalled.
-func (s *Stalls) Seen(now time.Time, hash uint64, p *flow.Packet) bool {
+// Seen notes a packet and reports whether its flow has repeated itself for the
+// timeout.
+func (s *Stalls) Seen(now time.Time, timeout time.Duration, hash uint64, p *flow.Packet) bool {
 	if !p.TCP() || p.Payload < minStallPayload {
 		return false
 	}
@@ -51,7 +50,7 @@
 		*e = stallSlot{flow: hash, seq: p.Seq, ack: p.Ack, since: now.UnixNano()}
 		return false
 	}
-	if now.UnixNano()-e.since < int64(s.timeout) {
+	if now.UnixNano()-e.since < int64(timeout) {
 		return false
 	}
 	*e = stallSlot{}
