--- a/internal/daemon/control_test.go
+++ b/internal/daemon/control_test.go
@@ -33,17 +33,20 @@
 	t := &trio{c: c, ctx: ctx}
 	var bounds []*Bound
 	var peers []config.Peer
+	var seeds []string
 	for i := range 3 {
 		b, err := Bind(config.Config{
 			Name: fmt.Sprintf("host-%d", i), Zone: "rvk-a", Roles: []config.Role{config.Control}, Data: c.TempDir(), Bootstrap: true,
-			RPC: anyPort, API: anyPort, Log: config.Log{Level: "warn", Format: "text"},
+			RPC: anyPort, API: anyPort, Gossip: anyPort, Log: config.Log{Level: "warn", Format: "text"},
 		})
 		c.Assert(err, qt.IsNil)
 		bounds = append(bounds, b)
 		peers = append(peers, config.Peer{Name: b.Config.Name, RPC: b.Config.RPC})
+		seeds = append(seeds, b.Config.Gossip)
 	}
 	for _, b := range bounds {
 		b.Config.Control = peers
+		b.Config.Seeds = seeds
 		t.hosts = append(t.hosts, t.start(b))
 	}
 	c.Cleanup(func() {
