--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -75,6 +75,8 @@
 		incarnation: uint64(c.Now().UnixMicro()),
 		registry:    registry.New(),
 	}
+	d.Metrics.GaugeFunc("control.bytes", d.ControlBytes)
+	d.Metrics.GaugeFunc("state.revision", func() int64 { return int64(d.Replica.Revision()) })
 	if err := d.secure(); err != nil {
 		b.Close()
 		return nil, err
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -39,6 +39,11 @@
 	return gometrics.GetOrRegisterGauge(name, r.reg)
 }
 
+// GaugeFunc registers a gauge whose value is that of fn at each reading.
+func (r *Registry) GaugeFunc(name string, fn func() int64) {
+	_ = r.reg.Register(name, gometrics.NewFunctionalGauge(fn))
+}
+
 // Histogram returns the histogram called name for a customer and class.
 func (r *Registry) Histogram(name, customer, class string) gometrics.Histogram {
 	full := name + "." + r.bounded(customer+"."+class)
