Spread announcements by gossip, each kept by one entry host of its zone

Cause: every announcement went to every control host, a flood was taken whole, two processes at one address both counted, and a host that lost its memory lost all backend servers. Change: the registry is pure, announcements are items of the gossip, a repetition costs one small datagram to the keeper that counts the lease. Comparisons send eight bytes a record.

--- a/internal/apiserver/apiserver.go
+++ b/internal/apiserver/apiserver.go
@@ -23,8 +23,9 @@
 type Submitter interface {
 	// Submit commits a change, here or on the leading control host.
 	Submit(ctx context.Context, c state.Change) (state.Result, error)
-	// Announce takes the announcement of a backend server.
-	Announce(ctx context.Context, b model.Backend) error
+	// Announce takes the announcement of a backend server and returns the
+	// lease that it was granted.
+	Announce(ctx context.Context, b model.Backend) (time.Duration, error)
 	// Leader returns the RPC address of the leading control host, if known.
 	Leader() string
 }
@@ -174,10 +175,11 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := s.Submit.Announce(ctx, b); err != nil {
+	lease, err := s.Submit.Announce(ctx, b)
+	if err != nil {
 		return nil, err
 	}
-	return &api.AnnouncementResult{LeaseSeconds: b.Lease.Seconds()}, nil
+	return &api.AnnouncementResult{LeaseSeconds: lease.Seconds()}, nil
 }
 
 func backendOf(a *api.Announcement) (model.Backend, error) {
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -7,7 +7,6 @@
 	mathrand "math/rand/v2"
 
 	"greengagequay/internal/control"
-	"greengagequay/internal/model"
 	"greengagequay/internal/rpc"
 	"greengagequay/internal/state"
 	"greengagequay/internal/wal"
@@ -76,8 +75,3 @@
 	*out = result
 	return rpc.EncodeError(err)
 }
-
-// Announce takes the announcement of a backend server.
-func (s *controlService) Announce(b model.Backend, _ *struct{}) error {
-	return rpc.EncodeError(s.d.registry.Announce(b, s.d.clock.Now()))
-}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,7 +23,6 @@
 	"greengagequay/internal/logs"
 	"greengagequay/internal/metrics"
 	"greengagequay/internal/model"
-	"greengagequay/internal/registry"
 	"greengagequay/internal/replica"
 	"greengagequay/internal/request"
 	"greengagequay/internal/rpc"
@@ -44,7 +43,7 @@
 	controlBytes atomic.Int64
 	freshness    follow.Freshness
 	tokens       *access.Tokens // nil lets everyone in
-	registry     *registry.Registry
+	registry     *announcements
 	reports      flowReports
 	server       *rpc.Server
 	client       *rpc.Client
@@ -73,7 +72,6 @@
 		logs:        l,
 		log:         l.Part("daemon"),
 		incarnation: uint64(c.Now().UnixMicro()),
-		registry:    registry.New(),
 	}
 	if err := d.secure(); err != nil {
 		b.Close()
--- a/internal/daemon/follow.go
+++ b/internal/daemon/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
@@ -179,23 +178,6 @@
 	}
 }
 
-// eachControl calls fn for every control host and fails if none succeeds.
-func (d *Daemon) eachControl(ctx context.Context, fn func(context.Context, string) error) error {
-	var errs []error
-	for _, peer := range d.Config.Control {
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
-		err := fn(ctx, peer.RPC)
-		cancel()
-		errs = append(errs, err)
-	}
-	for _, err := range errs {
-		if err == nil {
-			return nil
-		}
-	}
-	return errors.Join(errs...)
-}
-
 // Submit commits a change on the leading control host.
 func (d *Daemon) Submit(ctx context.Context, c state.Change) (state.Result, error) {
 	if d.commits != nil {
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -6,11 +6,11 @@
 	"net/netip"
 
 	"greengagequay/internal/gossip"
-	"greengagequay/internal/model"
 )
 
 // openMembers sets up this host as a member. It does not gossip yet.
 func (d *Daemon) openMembers() error {
+	d.openRegistry()
 	log := d.logs.Part("members")
 	var key gossip.Key
 	if d.Config.GossipKeyFile != "" {
@@ -25,7 +25,7 @@
 		Conn: d.bound.gossip, Key: key, Self: d.self(), Seeds: d.Config.Seeds,
 		Clock: d.clock, Rand: mathrand.New(mathrand.NewPCG(randomUint64(), randomUint64())),
 		Metrics: d.Metrics, Log: log, Bytes: &d.controlBytes,
-		Revision: d.Replica.Revision, Leading: d.leading,
+		Revision: d.Replica.Revision, Leading: d.leading, Changed: d.gossiped,
 	})
 	return nil
 }
@@ -33,6 +33,7 @@
 func (d *Daemon) startMembers(ctx context.Context) {
 	d.run(d.Members.Receive)
 	d.run(func() { d.Members.Tick(ctx) })
+	d.run(func() { d.keepRegistry(ctx) })
 }
 
 // leading reports whether this host leads the control hosts and a quorum of
@@ -44,10 +45,3 @@
 	_, self := d.commits.Leader()
 	return self && d.commits.Status().Current
 }
-
-// Announce passes an announcement on to the control hosts.
-func (d *Daemon) Announce(ctx context.Context, b model.Backend) error {
-	return d.eachControl(ctx, func(ctx context.Context, addr string) error {
-		return d.client.Call(ctx, addr, "Control.Announce", b, &struct{}{})
-	})
-}
--- a/internal/daemon/placement.go
+++ b/internal/daemon/placement.go
@@ -48,8 +48,6 @@
 			return
 		case <-d.clock.After(placeInterval):
 		}
-		now := d.clock.Now()
-		d.registry.Expire(now)
 		if _, self := d.commits.Leader(); !self {
 			planner = nil // what it remembers is out of date by the next term
 			continue
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -206,6 +206,11 @@
 	})
 }
 
+// SendTo sends data to a host, at most once. It fails silently.
+func (n *Node) SendTo(host string, data []byte) {
+	n.do(func() member.Output { return n.core.SendTo(host, data) })
+}
+
 // Leaving tells the others that this host hands its work over.
 func (n *Node) Leaving() {
 	n.do(func() member.Output {
--- a/internal/member/core.go
+++ b/internal/member/core.go
@@ -62,6 +62,7 @@
 
 type item struct {
 	Item
+	hash  uint32
 	since time.Duration
 }
 
@@ -184,6 +185,16 @@
 		c.sendWanted(from, m)
 	case Report:
 		c.takeReport(from, m)
+	case Direct:
+		c.event(Event{Kind: Received, From: m.From, Data: m.Data})
+	}
+	return c.flush()
+}
+
+// SendTo sends data of another package to a host, at most once.
+func (c *Core) SendTo(name string, data []byte) Output {
+	if h := c.hosts[name]; h != nil {
+		c.sendRaw(h.rec.Gossip, &Message{Kind: Direct, Data: data})
 	}
 	return c.flush()
 }
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -42,7 +42,7 @@
 	rumorBytes   = 500  // bytes of news in one message
 	rumorRate    = 1200 // bytes of news per second
 	rumorBurst   = 8000 // bytes
-	maxForeign   = 32   // pieces of news from other zones that are spread at a time
+	maxForeign   = 8    // pieces of news from other zones that are spread at a time
 	parts        = 16   // slices of a zone that are compared one by one
 	headerBytes  = 28   // IPv4 and UDP headers of a datagram
 	maxExcepted  = 4    // hosts listed apart in a summary of progress
@@ -65,7 +65,8 @@
 	NameTaken   EventKind = "name taken"   // a newer host uses this host's name
 	ZoneCut     EventKind = "zone cut off"
 	ZoneHealed  EventKind = "zone healed"
-	Paused      EventKind = "paused" // this host did not run for a while
+	Received    EventKind = "received" // another host sent data
+	Paused      EventKind = "paused"   // this host did not run for a while
 )
 
 // Event is something that the owner of the core may act on.
@@ -74,6 +75,8 @@
 	Host model.Host
 	Item Item
 	Zone string
+	From string // name of the host that sent Data
+	Data []byte
 }
 
 // Packet is a message to be sent to a gossip address.
--- a/internal/member/message.go
+++ b/internal/member/message.go
@@ -19,12 +19,13 @@
 	PingReq                  // asks to probe Target
 	Digest                   // digests of all zones
 	Parts                    // digests of the slices of one zone
-	Versions                 // versions of one slice of a zone
+	Versions                 // versions of some slices of a zone
 	Records                  // records that the receiver asked for or lacks
 	Want                     // asks for the records with the listed hashes
 	Report                   // progress of a zone, from a bridge to the leading control host
 	Answer                   // answers a Report with a Beacon
 	News                     // carries records that are to be spread
+	Direct                   // carries Data to one host
 )
 
 // Message is one datagram between hosts.
@@ -34,17 +35,18 @@
 	Seq      uint64       `cbor:"3,keyasint,omitempty"` // of a probe
 	Target   string       `cbor:"4,keyasint,omitempty"` // host to probe
 	Zone     string       `cbor:"5,keyasint,omitempty"` // that Parts, Versions and Report describe
-	Slice    int          `cbor:"6,keyasint,omitempty"` // that Versions describes
+	Mask     uint32       `cbor:"6,keyasint,omitempty"` // slices that Versions describes, a bit for each
 	Hosts    []HostRecord `cbor:"7,keyasint,omitempty"`
 	Items    []Item       `cbor:"8,keyasint,omitempty"`
 	Zones    []ZoneDigest `cbor:"9,keyasint,omitempty"`
 	Slices   []uint32     `cbor:"10,keyasint,omitempty"`
-	Versions []Version    `cbor:"11,keyasint,omitempty"`
+	Packed   []byte       `cbor:"11,keyasint,omitempty"` // for each record: hash of the key, hash of the version
 	Wanted   []uint32     `cbor:"12,keyasint,omitempty"` // hashes of keys
 	Beacon   *Beacon      `cbor:"13,keyasint,omitempty"`
 	Progress *Progress    `cbor:"14,keyasint,omitempty"`
 	Summary  *Summary     `cbor:"15,keyasint,omitempty"`
 	Cut      []string     `cbor:"16,keyasint,omitempty"` // zones that the sender, a bridge, cannot reach
+	Data     []byte       `cbor:"18,keyasint,omitempty"` // of another package
 	Bridge   bool         `cbor:"17,keyasint,omitempty"` // the sender is a bridge, so that Cut counts
 }
 
@@ -81,13 +83,6 @@
 	Sum  uint32
 }
 
-// Version is the version of one record.
-type Version struct {
-	_       struct{} `cbor:",toarray"`
-	Key     uint32   // hash of the key
-	Version uint64
-}
-
 // Ranks of states in records.
 const (
 	rankAlive uint8 = iota
@@ -155,7 +150,7 @@
 }
 
 func (m *Message) check() error {
-	ok := m.Kind >= Ping && m.Kind <= News && m.From != "" && m.Slice >= 0 && m.Slice < parts
+	ok := m.Kind >= Ping && m.Kind <= Direct && m.From != ""
 	for i := range m.Hosts {
 		r := &m.Hosts[i]
 		ok = ok && r.Name != "" && r.Zone != "" && r.State <= rankLeft
--- a/internal/member/record.go
+++ b/internal/member/record.go
@@ -87,7 +87,7 @@
 		}
 		c.zones[old.Zone].removeItem(old)
 	}
-	fresh := &item{Item: i, since: c.at}
+	fresh := &item{Item: i, hash: hashOf(itemRumor(i.Key)), since: c.at}
 	c.items[i.Key] = fresh
 	c.zoneOf(i.Zone).addItem(fresh)
 	own := i.Zone == c.self.rec.Zone
--- a/internal/member/sync.go
+++ b/internal/member/sync.go
@@ -1,6 +1,9 @@
 package member
 
 import (
+	"cmp"
+	"encoding/binary"
+	"maps"
 	"slices"
 	"time"
 )
@@ -8,11 +11,10 @@
 // Sizes of comparisons.
 const (
 	maxDigests   = 8    // zones in one digest
-	maxSlices    = 4    // slices compared at once
-	maxVersions  = 70   // records in one comparison
-	versionBytes = 15   // bytes of one version in a comparison
+	entryBytes   = 8    // of one record in a comparison
+	maxPacked    = 1000 // bytes of the entries of one comparison
 	recordBytes  = 1000 // bytes of records in one message
-	hurrySync    = 300 * time.Millisecond
+	hurrySync    = 500 * time.Millisecond
 	maxWanted    = 100
 	digestsEqual = 0 // number of an Ack that only says that the sender lives
 )
@@ -87,65 +89,76 @@
 	}
 	c.next.sync = min(c.next.sync, c.at+hurrySync)
 	start := c.rand.IntN(parts)
-	sent := 0
+	answer := &Message{Kind: Versions, Zone: z.name}
 	for i := range parts {
 		slice := (start + i) % parts
-		if m.Slices[slice] == z.sums[slice] || sent == maxSlices {
+		if m.Slices[slice] == z.sums[slice] {
 			continue
 		}
-		sent++
-		list := z.versions(slice)
-		if c.rumors.spend(versionBytes * len(list)) {
-			c.sendRaw(from, &Message{Kind: Versions, Zone: z.name, Slice: slice, Versions: list})
+		packed := z.versions(slice)
+		if answer.Mask != 0 && len(answer.Packed)+len(packed) > maxPacked {
+			break
 		}
+		answer.Mask |= 1 << slice
+		answer.Packed = append(answer.Packed, packed[:min(len(packed), maxPacked)]...)
+	}
+	if answer.Mask != 0 && c.rumors.spend(len(answer.Packed)) {
+		c.sendRaw(from, answer)
 	}
 }
 
-// versions returns the versions of the live records of one slice.
-func (z *zone) versions(slice int) []Version {
-	var list []Version
-	z.each(slice, func(key uint32, version uint64, live bool, _ *host, _ *item) {
-		if live && len(list) < maxVersions {
-			list = append(list, Version{Key: key, Version: version})
+// entry stands for the live record in a comparison.
+type entry struct{ key, version uint32 }
+
+// versions returns the packed entries of the live records of one slice.
+func (z *zone) versions(slice int) []byte {
+	var list []entry
+	z.each(1<<slice, func(e entry, live bool, _ *host, _ *item) {
+		if live {
+			list = append(list, e)
 		}
 	})
-	slices.SortFunc(list, func(a, b Version) int { return int(int64(a.Key) - int64(b.Key)) })
-	return list
+	slices.SortFunc(list, func(a, b entry) int { return cmp.Compare(a.key, b.key) })
+	packed := make([]byte, 0, entryBytes*len(list))
+	for _, e := range list {
+		packed = binary.LittleEndian.AppendUint32(packed, e.key)
+		packed = binary.LittleEndian.AppendUint32(packed, e.version)
+	}
+	return packed
 }
 
-// each calls fn for every record of a slice, live or not.
-func (z *zone) each(slice int, fn func(key uint32, version uint64, live bool, h *host, i *item)) {
+// each calls fn for every record of the slices in the mask, live or not.
+func (z *zone) each(mask uint32, fn func(e entry, live bool, h *host, i *item)) {
 	for _, h := range z.hosts {
-		if int(h.hash%parts) == slice {
-			fn(h.hash, h.rec.Version, h.rec.live(), h, nil)
+		if mask&(1<<(h.hash%parts)) != 0 {
+			fn(entry{h.hash, mix(h.hash, h.rec.Version)}, h.rec.live(), h, nil)
 		}
 	}
 	for _, i := range z.items {
-		if hash := hashOf(itemRumor(i.Key)); int(hash%parts) == slice {
-			fn(hash, i.Version, !i.Gone, nil, i)
+		if mask&(1<<(i.hash%parts)) != 0 {
+			fn(entry{i.hash, mix(i.hash, i.Version)}, !i.Gone, nil, i)
 		}
 	}
 }
 
-// compareVersions sends what the other host lacks and asks for what this host
-// lacks. A tombstone is sent only where the other host has the record.
+// compareVersions sends what the other host lacks or has in another version,
+// and asks for what this host lacks. Who gets a record that is older than its
+// own answers with the newer one. A tombstone is sent only where the other
+// host has the record.
 func (c *Core) compareVersions(from string, m *Message) {
-	theirs := map[uint32]uint64{}
-	for _, v := range m.Versions {
-		theirs[v.Key] = v.Version
+	theirs := map[uint32]uint32{}
+	for p := m.Packed; len(p) >= entryBytes; p = p[entryBytes:] {
+		theirs[binary.LittleEndian.Uint32(p)] = binary.LittleEndian.Uint32(p[4:])
 	}
 	var hosts []HostRecord
 	var items []Item
 	if z := c.zones[m.Zone]; z != nil {
-		z.each(m.Slice, func(key uint32, version uint64, live bool, h *host, i *item) {
-			other, has := theirs[key]
-			if (has && other >= version && live) || (!has && !live) || (has && other > version) {
-				if other <= version {
-					delete(theirs, key)
-				}
+		z.each(m.Mask, func(e entry, live bool, h *host, i *item) {
+			version, has := theirs[e.key]
+			delete(theirs, e.key)
+			if (has && live && version == e.version) || (!has && !live) {
 				return
 			}
-			delete(theirs, key)
 			if h != nil {
 				hosts = append(hosts, h.rec)
 			} else {
@@ -157,15 +170,11 @@
 	c.askFor(from, theirs)
 }
 
-func (c *Core) askFor(from string, lacking map[uint32]uint64) {
+func (c *Core) askFor(from string, lacking map[uint32]uint32) {
 	if len(lacking) == 0 {
 		return
 	}
-	want := make([]uint32, 0, len(lacking))
-	for key := range lacking {
-		want = append(want, key)
-	}
-	slices.Sort(want)
+	want := slices.Sorted(maps.Keys(lacking))
 	c.sendRaw(from, &Message{Kind: Want, Wanted: want[:min(len(want), maxWanted)]})
 }
 
@@ -178,7 +187,7 @@
 		}
 	}
 	for _, i := range c.items {
-		if slices.Contains(m.Wanted, hashOf(itemRumor(i.Key))) {
+		if slices.Contains(m.Wanted, i.hash) {
 			items = append(items, i.Item)
 		}
 	}
--- a/internal/member/zone.go
+++ b/internal/member/zone.go
@@ -71,8 +71,7 @@
 
 func (z *zone) toggleItem(i *item) {
 	if !i.Gone {
-		hash := hashOf(itemRumor(i.Key))
-		z.sums[hash%parts] ^= mix(hash, i.Version)
+		z.sums[i.hash%parts] ^= mix(i.hash, i.Version)
 	}
 }
 
