Admit requests through homes, and run keyed requests at most once

Change: internal/homes runs the slot and once-only cores on each entry host over net/rpc; the chain is identify, limit, deadline, once, choose, dispatch, each with a histogram per customer and class. A host that shuts down hands its homes over before it stops accepting. The table tells which hosts may be homes and how often a host has returned.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"greengagequay/internal/control"
 	"greengagequay/internal/entry"
 	"greengagequay/internal/follow"
+	"greengagequay/internal/homes"
 	"greengagequay/internal/logs"
 	"greengagequay/internal/member"
 	"greengagequay/internal/metrics"
@@ -52,6 +53,7 @@
 	transport    *control.RPCTransport
 	api          *http.Server
 	requests     *http.Server
+	homes        *homes.Homes // nil unless an entry host
 	streams      []*entry.Stream
 	flows        *flows       // nil unless an entry host
 	leaving      atomic.Bool  // set once the host has begun to shut down
@@ -113,7 +115,9 @@
 			return err
 		}
 		d.run(func() { d.reportFlows(ctx) })
-		d.startRequests(ctx)
+		if err := d.startRequests(ctx); err != nil {
+			return err
+		}
 		d.startStreams()
 	}
 	return d.startAPI()
@@ -163,6 +167,7 @@
 	for _, s := range d.streams {
 		s.Close()
 	}
+	d.leaveHomes(ctx)
 	var errs []error
 	if d.requests != nil {
 		errs = append(errs, d.requests.Shutdown(ctx))
@@ -180,6 +185,9 @@
 // Kill ends the process at once, as a crash would.
 func (d *Daemon) Kill() {
 	d.cancel()
+	if d.homes != nil {
+		d.homes.Close()
+	}
 	d.bound.Close()
 	_ = d.api.Close()
 	if d.requests != nil {
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -10,18 +10,14 @@
 	"greengagequay/internal/filter/deadline"
 	"greengagequay/internal/filter/dispatch"
 	"greengagequay/internal/filter/identify"
+	"greengagequay/internal/filter/limit"
+	"greengagequay/internal/filter/once"
+	"greengagequay/internal/homes"
 	"greengagequay/internal/metrics"
 	"greengagequay/internal/replica"
 	"greengagequay/internal/request"
 )
 
-// Limits of connections to backend servers.
-const (
-	dialTimeout   = time.Second
-	idleTimeout   = 30 * time.Second
-	idlePerServer = 64
-)
-
 // Requests serves callers' HTTP requests.
 type Requests struct {
 	chain   request.Handler
@@ -30,26 +26,37 @@
 }
 
 // NewRequests returns the handler of requests with its chain of filters.
-func NewRequests(r *replica.Replica, m *metrics.Registry, c clock.Clock) *Requests {
-	return &Requests{metrics: m, clock: c, chain: request.Chain(
+func NewRequests(r *replica.Replica, h *homes.Homes, m *metrics.Registry, c clock.Clock) *Requests {
+	s := &Requests{metrics: m, clock: c}
+	s.chain = request.Chain(c, s.observe,
 		&identify.Filter{Replica: r},
-		&deadline.Filter{Replica: r, Clock: c},
-		&choose.Filter{Replica: r},
-		&dispatch.Filter{Replica: r, Transport: newTransport()},
-	)}
+		&limit.Filter{Replica: r, Clock: c},
+		&deadline.Filter{Replica: r, Clock: c, Longest: homes.MaxTimeout},
+		&once.Filter{Replica: r, Records: h},
+		&choose.Filter{Replica: r, Slots: h, Clock: c, Retries: &choose.Budget{Replica: r}},
+		&dispatch.Filter{Replica: r, Transport: dispatch.NewTransport(), Clock: c},
+	)
+	return s
+}
+
+func (s *Requests) observe(filter string, r *request.Request, own time.Duration) {
+	s.metrics.Histogram("filter."+filter+".microseconds", r.Customer, r.Class).Update(own.Microseconds())
 }
 
 // ServeHTTP passes one request through the chain.
 func (s *Requests) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	r := &request.Request{HTTP: req, Writer: w}
 	start := s.clock.Now()
+	outcome := request.Cut // unless the chain returns
+	defer func() {
+		s.metrics.Counter("requests." + outcome).Inc(1)
+		elapsed := s.clock.Now().Sub(start)
+		s.metrics.Histogram("requests.microseconds", r.Customer, r.Class).Update(elapsed.Microseconds())
+	}()
 	err := s.chain.Handle(r)
-	outcome := request.Answered
+	outcome = request.Answered
 	if err != nil {
 		request.WriteError(w, err)
 		outcome = string(fault.KindOf(err))
 	}
-	s.metrics.Counter("requests." + outcome).Inc(1)
-	elapsed := s.clock.Now().Sub(start)
-	s.metrics.Histogram("requests.microseconds", r.Customer, r.Class).Update(elapsed.Microseconds())
 }
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -7,6 +7,7 @@
 	"net"
 	"slices"
 	"sync"
+	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
 
@@ -17,6 +18,9 @@
 	"greengagequay/internal/table"
 )
 
+// dialTimeout bounds the opening of a connection to a backend server.
+const dialTimeout = time.Second
+
 // Stream serves plain TCP connections of one service. A connection is pinned
 // to the entry host that took it.
 type Stream struct {
--- a/internal/filter/deadline/deadline.go
+++ b/internal/filter/deadline/deadline.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"greengagequay/internal/clock"
@@ -13,10 +14,15 @@
 	"greengagequay/internal/state"
 )
 
+// grace is the time after the deadline in which a caller may still read the
+// error that tells it so.
+const grace = time.Second
+
 // Filter is the deadline filter.
 type Filter struct {
 	Replica *replica.Replica
 	Clock   clock.Clock
+	Longest time.Duration // a caller that asks for more gets this
 }
 
 // Name returns "deadline".
@@ -28,7 +34,12 @@
 	if err != nil {
 		return err
 	}
+	timeout = min(timeout, f.Longest)
 	r.Deadline = f.Clock.Now().Add(timeout)
+	bound := http.NewResponseController(r.Writer)
+	_ = bound.SetReadDeadline(r.Deadline) // a caller that sends or reads too slowly is cut off
+	_ = bound.SetWriteDeadline(r.Deadline.Add(grace))
+	defer func() { _ = bound.SetWriteDeadline(time.Time{}) }()
 	ctx, cancel := context.WithTimeout(r.HTTP.Context(), timeout)
 	defer cancel()
 	r.HTTP = r.HTTP.WithContext(ctx)
--- a/internal/filter/identify/identify.go
+++ b/internal/filter/identify/identify.go
@@ -3,10 +3,13 @@
 
 import (
 	"net"
+	"time"
 
 	"greengagequay/internal/fault"
 	"greengagequay/internal/replica"
 	"greengagequay/internal/request"
+	"greengagequay/internal/settings"
+	"greengagequay/internal/state"
 )
 
 // Defaults for requests that name no customer or class.
@@ -39,12 +42,37 @@
 			return fault.New(fault.Invalid, "use at most 128 bytes", "request header %.20q... is too long", field)
 		}
 	}
+	if err := readKeyTime(r); err != nil {
+		return err
+	}
 	if f.Replica.Table().ByName[r.Service] == nil {
 		return fault.New(fault.NotFound, "name a service in "+request.HeaderService, "service %q does not exist", r.Service)
 	}
+	r.Body = request.NewBody(r.HTTP.Body, f.bodyLimit(r.Service))
 	return next.Handle(r)
 }
 
+func (f *Filter) bodyLimit(service string) (limit int) {
+	f.Replica.Read(func(s *state.State) {
+		limit = s.Tree.Int(settings.Path(service), settings.RequestBodyBuffer)
+	})
+	return limit
+}
+
+// readKeyTime reads when the caller made the key.
+func readKeyTime(r *request.Request) error {
+	text := r.HTTP.Header.Get(request.HeaderKeyTime)
+	if text == "" {
+		return nil
+	}
+	made, err := time.Parse(time.RFC3339Nano, text)
+	if err != nil {
+		return fault.New(fault.Invalid, `use a time such as "2006-01-02T15:04:05Z"`, "request header %s has value %q", request.HeaderKeyTime, text)
+	}
+	r.KeyTime = made
+	return nil
+}
+
 func hostName(host string) string {
 	name, _, err := net.SplitHostPort(host)
 	if err != nil {
--- /dev/null
+++ b/internal/homes/tick.go
@@ -0,0 +1,343 @@
+package homes
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"greengagequay/internal/fence"
+	"greengagequay/internal/model"
+	"greengagequay/internal/oncekey"
+	"greengagequay/internal/replica"
+	"greengagequay/internal/settings"
+	"greengagequay/internal/slots"
+	"greengagequay/internal/state"
+	"greengagequay/internal/table"
+)
+
+// maxShardRecords bounds the records of one shard.
+const maxShardRecords = 4096
+
+// view is the table in the form that one tick needs.
+type view struct {
+	table   *table.Table
+	members []fence.Member        // hosts that may be homes
+	byName  map[string]table.Host // hosts that are alive or leaving
+	homes   map[string]string     // home of each backend server's slots, by unit
+	now     time.Time
+}
+
+func (v view) names() []string {
+	return slices.Sorted(maps.Keys(v.byName))
+}
+
+// zoneOf returns the zone whose hosts serve the backend server: its own, or
+// all if its own has no entry host.
+func (v view) zoneOf(b table.Backend) string {
+	for _, m := range v.members {
+		if m.Zone == b.Zone {
+			return b.Zone
+		}
+	}
+	return ""
+}
+
+// electorate returns the hosts of which a majority must agree to the lease of
+// the backend server's home.
+func (v view) electorate(b table.Backend) []string {
+	var names []string
+	zone := v.zoneOf(b)
+	for _, m := range v.members {
+		if zone == "" || m.Zone == zone {
+			names = append(names, m.Name)
+		}
+	}
+	return names
+}
+
+// first returns the processes of the table if no other process has ever been
+// an entry host: no number of a host is missing, and none has restarted.
+func (v view) first(r *replica.Replica) []string {
+	var next uint32
+	r.Read(func(s *state.State) {
+		if s.Revision == v.table.Revision {
+			next = s.Placement.NextNum
+		}
+	})
+	if len(v.table.Hosts)+len(v.table.Backends) != int(next)-1 {
+		return nil
+	}
+	var processes []string
+	for _, host := range v.table.Hosts {
+		if host.Returns != 0 || host.State == model.Dead {
+			return nil
+		}
+		processes = append(processes, v.process(host.Name))
+	}
+	return processes
+}
+
+func (v view) slotHome(b table.Backend) string { return v.homes[slotUnitOf(b)] }
+
+// process returns the process of a host of the table.
+func (v view) process(name string) string {
+	host, ok := v.byName[name]
+	if !ok {
+		return ""
+	}
+	return processName(name, host.Incarnation)
+}
+
+// view returns the view of the table in force. It is computed once per table.
+func (h *Homes) view() view {
+	t := h.Replica.Table()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.last.table != t {
+		h.last = newView(t)
+	}
+	v := h.last
+	v.now = h.Clock.Now()
+	return v
+}
+
+func newView(t *table.Table) view {
+	v := view{table: t, byName: map[string]table.Host{}, homes: map[string]string{}}
+	for _, host := range t.Hosts {
+		if host.State == model.Dead {
+			continue
+		}
+		v.byName[host.Name] = host
+		if host.State != model.Leaving {
+			v.members = append(v.members, fence.Member{Name: host.Name, Zone: host.Zone})
+		}
+	}
+	for _, b := range t.Backends {
+		unit := slotUnitOf(b)
+		if ranked := fence.Rank(unit, v.zoneOf(b), v.members); len(ranked) > 0 {
+			v.homes[unit] = ranked[0].Name
+		}
+	}
+	return v
+}
+
+// tick does what is due: claims, leases, takeovers and the ends of waits.
+func (h *Homes) tick() {
+	v := h.view()
+	h.noteHosts(v)
+	calls := fenceCalls{}
+	for _, b := range v.table.Backends {
+		if b.Request.IsValid() && b.State != model.Gone {
+			h.tendSlots(v, b, calls)
+		}
+	}
+	retention := h.longestRetention()
+	for _, u := range h.shards {
+		h.tendShard(v, u, retention, calls)
+	}
+	h.dropUnits(v)
+	for host, args := range calls {
+		h.fence(host, args)
+	}
+}
+
+// noteHosts keeps the addresses of all hosts and notices a gap in this host's
+// own presence in the table.
+func (h *Homes) noteHosts(v view) {
+	h.mu.Lock()
+	for _, host := range v.table.Hosts {
+		h.hosts[host.Name] = host
+	}
+	own, listed := v.byName[h.Name]
+	now := presence{own.Num, own.Returns}
+	rejoined := listed && h.presence != (presence{}) && h.presence != now
+	if listed {
+		h.presence = now
+	}
+	var units []*slotUnit
+	if rejoined {
+		h.since = v.now.UnixMicro()
+		for _, u := range h.slots {
+			units = append(units, u)
+		}
+	}
+	h.mu.Unlock()
+	if !rejoined {
+		return
+	}
+	for _, u := range units {
+		u.mu.Lock()
+		u.core.Rejoin(v.now)
+		u.mu.Unlock()
+	}
+	for _, u := range h.shards {
+		u.mu.Lock()
+		u.core.Rejoin(v.now)
+		u.mu.Unlock()
+	}
+}
+
+func (h *Homes) tendSlots(v view, b table.Backend, calls fenceCalls) {
+	u := h.slotsOf(slotUnitOf(b))
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if v.slotHome(b) != h.Name || v.process(h.Name) != h.self {
+		u.settleAll(u.core.Resign(), slots.NotHome)
+		return
+	}
+	params := h.slotParams(v, b)
+	if !u.core.Stands() {
+		u.former = hostOf(u.core.Home())
+		hosts := withFormer(v.names(), u.former)
+		if u.core.Claim(fence.Epoch(v.table.Revision), int64(b.Incarnation), hosts, params, v.now) {
+			u.claimed = v.now
+			clear(u.acks)
+		}
+	}
+	u.core.SetParams(params)
+	u.core.Listed(func(host string) bool { return stillAsked(v, host, u.former, u.claimed) }, v.now)
+	granted, late := u.core.Tick(v.now)
+	u.settleAll(granted, slots.Granted)
+	u.settleAll(late, slots.Full)
+	claim := fence.Mark{Epoch: u.core.Claims(), Home: h.self}
+	if claim.Epoch == 0 {
+		return
+	}
+	for _, host := range u.core.Waiting() {
+		calls.of(host).addSlots(Claim{Unit: u.name, Mark: claim, Report: true})
+	}
+	for _, host := range v.electorate(b) {
+		if v.now.Sub(u.acks[host]) >= renewInterval {
+			calls.of(host).addSlots(Claim{Unit: u.name, Mark: claim})
+		}
+	}
+}
+
+// withFormer adds the former home of a unit, which may have left the table.
+func withFormer(hosts []string, former string) []string {
+	if former == "" || slices.Contains(hosts, former) {
+		return hosts
+	}
+	return append(hosts, former)
+}
+
+// stillAsked reports whether a takeover still waits for a host.
+func stillAsked(v view, host, former string, claimed time.Time) bool {
+	if _, ok := v.byName[host]; ok {
+		return true
+	}
+	return host == former && v.now.Sub(claimed) < handoverWait
+}
+
+func (h *Homes) slotParams(v view, b table.Backend) slots.Params {
+	p := slots.Params{Slots: b.Slots, MaxHold: MaxTimeout}
+	p.InZone = b.Zone == v.byName[h.Name].Zone
+	path := settings.Path(b.Service, b.Zone, b.ID)
+	h.Replica.Read(func(s *state.State) {
+		if p.Slots <= 0 {
+			p.Slots = s.Tree.Int(path, settings.BackendSlots)
+		}
+		p.Queue = s.Tree.Int(path, settings.RequestQueue)
+		p.Ramp = s.Tree.Duration(path, settings.BackendRamp)
+	})
+	return p
+}
+
+func (h *Homes) tendShard(v view, u *shardUnit, retention time.Duration, calls fenceCalls) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	home, backup := fence.Pair(u.name, v.members)
+	if home.Name != h.Name || v.process(h.Name) != h.self {
+		u.core.Resign()
+		return
+	}
+	pair := v.process(home.Name) + " " + v.process(backup.Name)
+	if !u.core.Stands() || u.pair != pair {
+		former := hostOf(u.core.Home())
+		if u.core.Claim(fence.Epoch(v.table.Revision), withFormer(v.names(), former), v.first(h.Replica), oncekey.Params{Retention: retention, MaxRecords: maxShardRecords}) {
+			u.former, u.claimed, u.pair, u.backup = former, v.now, pair, backup.Name
+		}
+	}
+	u.core.Listed(func(host string) bool { return stillAsked(v, host, u.former, u.claimed) }, v.now)
+	u.core.Renew(h.Confirmed())
+	u.core.Expire(retention, v.now)
+	claim := fence.Mark{Epoch: u.core.Claims(), Home: h.self}
+	for _, host := range u.core.Waiting() {
+		calls.of(host).addKeys(Claim{Unit: u.name, Mark: claim, Report: true})
+	}
+	h.syncShard(u, v.now)
+}
+
+// longestRetention returns the retention of records. A shard holds keys of all
+// services, so the longest counts.
+func (h *Homes) longestRetention() (longest time.Duration) {
+	h.Replica.Read(func(s *state.State) {
+		longest = s.Tree.Duration("/", settings.RequestRetention)
+		for _, service := range s.Tree.Services() {
+			longest = max(longest, s.Tree.Duration(settings.Path(service), settings.RequestRetention))
+		}
+	})
+	return longest
+}
+
+// syncShard brings the whole shard to the backup, after which it serves.
+func (h *Homes) syncShard(u *shardUnit, now time.Time) {
+	s, ok := u.core.Pending(now)
+	if !ok || u.syncing {
+		return
+	}
+	if u.backup == "" {
+		u.core.Open(s.Claim.Epoch, now)
+		return
+	}
+	u.syncing = true
+	backup := u.backup
+	h.background(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		var taken bool
+		err := h.call(ctx, backup, "Sync", SyncArgs{Unit: u.name, Sync: s}, &taken)
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		u.syncing = false
+		if err == nil && taken {
+			u.core.Open(s.Claim.Epoch, h.Clock.Now())
+		}
+	})
+}
+
+// dropUnits forgets backend servers that have left the table and run nothing.
+func (h *Homes) dropUnits(v view) {
+	listed := map[string]struct{}{}
+	for _, b := range v.table.Backends {
+		listed[slotUnitOf(b)] = struct{}{}
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for name, u := range h.slots {
+		if _, ok := listed[name]; ok {
+			continue
+		}
+		u.mu.Lock()
+		if u.core.Idle() && fence.Epoch(v.table.Revision) > u.core.Epoch() {
+			delete(h.slots, name)
+			delete(h.hints, name)
+		}
+		u.mu.Unlock()
+	}
+}
+
+// settleAll answers queued attempts.
+func (u *slotUnit) settleAll(attempts []string, verdict slots.Verdict) {
+	for _, attempt := range attempts {
+		u.settle(attempt, verdict)
+	}
+}
+
+func (u *slotUnit) settle(attempt string, verdict slots.Verdict) {
+	if ch := u.waiting[attempt]; ch != nil {
+		delete(u.waiting, attempt)
+		ch <- verdict
+	}
+}
--- a/internal/oncekey/core.go
+++ b/internal/oncekey/core.go
@@ -34,7 +34,7 @@
 	records map[string]entry // as home or backup, by key
 	sending map[string]entry // by key
 	served  fence.Epoch      // epoch of which records holds everything
-	floor   time.Time        // keys made earlier may have run without a record here
+	floor   Floor            // of the served epoch
 	opened  fence.Epoch
 	outbid  fence.Epoch
 	synced  syncID // last whole shard taken as backup
@@ -46,12 +46,13 @@
 	epoch    fence.Epoch
 	params   Params
 	takeover *fence.Takeover
+	first    []string // processes, if there were no others before
 	reports  []Report
 	gathered bool // the takeover is decided; the backup may lack records
 	decided  time.Time
 	lost     bool
 	open     bool
-	floor    time.Time
+	floor    Floor
 	lease    time.Time
 	syncs    int    // whole shards that the backup needed
 	changes  uint64 // changes of records
@@ -94,13 +95,14 @@
 	c.served, c.since, c.home = 0, now.UnixMicro(), nil
 }
 
-// Claim starts to take the shard over as its home. It reports false if a newer
-// claim is known.
-func (c *Core) Claim(e fence.Epoch, hosts []string, p Params) bool {
+// Claim starts to take the shard over as its home. hosts are the entry hosts
+// that must report. first are their processes if no other process has been an
+// entry host before, else nil. It reports false if a newer claim is known.
+func (c *Core) Claim(e fence.Epoch, hosts, first []string, p Params) bool {
 	if e <= max(c.marks.Last().Epoch, c.outbid) {
 		return false
 	}
-	c.home = &home{epoch: e, params: p, takeover: fence.NewTakeover(e, 0, hosts)}
+	c.home = &home{epoch: e, params: p, first: first, takeover: fence.NewTakeover(e, 0, hosts)}
 	return true
 }
 
@@ -123,6 +125,9 @@
 // Epoch returns the epoch of the shard's home as this host knows it.
 func (c *Core) Epoch() fence.Epoch { return c.marks.Last().Epoch }
 
+// Home returns the process that claims the shard, as this host knows.
+func (c *Core) Home() string { return c.marks.Last().Home }
+
 // Resign gives up the claim. The records stay for the next home.
 func (c *Core) Resign() { c.home = nil }
 
@@ -161,6 +166,9 @@
 	if verdict == fence.Pending {
 		return
 	}
+	if c.home.neverServed() {
+		verdict = fence.Complete
+	}
 	for _, r := range c.home.reports {
 		for _, rec := range r.Records {
 			c.merge(rec, now)
@@ -174,15 +182,29 @@
 	c.home.gathered, c.home.decided, c.home.reports = true, now, nil
 }
 
+// neverServed reports whether all processes that ever were entry hosts have
+// reported, and none knows of an earlier claim.
+func (h *home) neverServed() bool {
+	if len(h.first) == 0 || len(h.reports) != len(h.first) {
+		return false
+	}
+	for _, r := range h.reports {
+		if len(r.Marks) > 0 || r.Served != 0 || r.Opened != 0 || !slices.Contains(h.first, r.Host) {
+			return false
+		}
+	}
+	return true
+}
+
 // floorOf returns the floor after a takeover. A key's time may run ahead of
 // the clock that checked it by MaxSkew, and that clock ahead of this one.
-func (c *Core) floorOf(v fence.Verdict, served fence.Epoch, now time.Time) time.Time {
+func (c *Core) floorOf(v fence.Verdict, served fence.Epoch, now time.Time) Floor {
 	if v != fence.Complete {
-		return now.Add(2*MaxSkew + LeaseTerm)
+		return Floor{Time: now.Add(2*MaxSkew + LeaseTerm), Epoch: c.home.epoch}
 	}
-	var floor time.Time
+	var floor Floor
 	for _, r := range c.home.reports {
-		if r.Served == served && r.Floor.After(floor) {
+		if r.Served == served && r.Floor.Epoch >= floor.Epoch {
 			floor = r.Floor
 		}
 	}
--- a/internal/oncekey/messages.go
+++ b/internal/oncekey/messages.go
@@ -74,8 +74,19 @@
 	Runner    string
 	Remaining time.Duration // until the deadline
 	Made      time.Time     // when the caller made the key, zero if it did not say
+	Service   fence.Epoch   // revision at which the key's service was created, 0 if unknown
 }
 
+// Floor bounds what a home may not know: a key that was made before Time may
+// have run without a record, unless its service was created after Epoch.
+type Floor struct {
+	Time  time.Time
+	Epoch fence.Epoch // of the takeover whose predecessor was lost
+}
+
+// Hides reports whether keys of a service may have run without a record.
+func (f Floor) Hides(service fence.Epoch) bool { return service <= f.Epoch }
+
 // Verdict is the answer of a home to a Begin.
 type Verdict int
 
@@ -101,9 +112,9 @@
 // Report is a host's answer to a claim on a shard.
 type Report struct {
 	fence.Report
-	Floor   time.Time // of the epoch that the host served
-	Records []Record  // all that the host holds
-	Sending []Record  // intents of requests that this host sends now
+	Floor   Floor    // of the epoch that the host served
+	Records []Record // all that the host holds
+	Sending []Record // intents of requests that this host sends now
 }
 
 // Params are the limits of a shard.
--- a/internal/oncekey/serve.go
+++ b/internal/oncekey/serve.go
@@ -10,7 +10,7 @@
 type Sync struct {
 	Claim   fence.Mark
 	Number  int // rises each time the backup needs the whole shard
-	Floor   time.Time
+	Floor   Floor
 	Records []Record
 }
 
@@ -113,7 +113,7 @@
 	if e, ok := c.records[b.Key]; ok {
 		return c.known(e, now)
 	}
-	if v, why := c.mayBeNew(b.Made, now); v != Run {
+	if v, why := c.mayBeNew(b, now); v != Run {
 		return Decision{Verdict: v, Why: why}
 	}
 	if len(c.records) >= c.home.params.MaxRecords {
@@ -138,16 +138,17 @@
 }
 
 // mayBeNew decides whether a key without a record is certainly new.
-func (c *Core) mayBeNew(made, now time.Time) (Verdict, string) {
-	retention := c.home.params.Retention
+func (c *Core) mayBeNew(b Begin, now time.Time) (Verdict, string) {
+	made, floor, retention := b.Made, c.home.floor, c.home.params.Retention
+	hidden := floor.Hides(b.Service)
 	switch {
-	case made.IsZero() && now.Before(c.home.floor.Add(retention)):
+	case made.IsZero() && hidden && now.Before(floor.Time.Add(retention)):
 		return Unknown, "records of keys without a time were lost"
 	case made.IsZero():
 		return Run, ""
 	case made.After(now.Add(MaxSkew)):
 		return Invalid, ""
-	case !made.After(c.home.floor):
+	case hidden && !made.After(floor.Time):
 		return Unknown, "records of keys as old as this one were lost"
 	case made.Before(now.Add(-retention)):
 		return Unknown, "the key is older than the time for which answers are kept"
--- a/internal/place/hosts.go
+++ b/internal/place/hosts.go
@@ -44,6 +44,11 @@
 
 func (r *round) planHost(h Host, old table.Host, known bool) {
 	want := table.Host{Num: old.Num, Name: h.Name, Zone: h.Zone, RPC: h.RPC, Relay: h.Relay, Incarnation: h.Incarnation}
+	want.State, want.Returns = hostState(h), old.Returns
+	revived := old.State == model.Dead && want.State != model.Dead
+	if known && (revived || old.Incarnation != h.Incarnation) {
+		want.Returns++
+	}
 	if !known {
 		want.Num = table.HostNum(r.delta.NextNum)
 		r.delta.NextNum++
@@ -67,6 +72,17 @@
 	}
 }
 
+// hostState returns the state of a host in the table.
+func hostState(h Host) model.HostState {
+	switch {
+	case h.LeaseOut:
+		return model.Dead
+	case h.Leaving:
+		return model.Leaving
+	}
+	return model.Alive
+}
+
 // planSilentHost handles a host of the placement that is not among the
 // members: it has left, or this planner has not heard of it yet.
 func (r *round) planSilentHost(h table.Host) {
--- a/internal/request/outcome.go
+++ b/internal/request/outcome.go
@@ -10,6 +10,10 @@
 // Answered is the outcome of a request that has its answer.
 const Answered = "answered"
 
+// Cut is the outcome of a request whose answer broke off. The caller sees an
+// error of its connection.
+const Cut = "cut"
+
 // problem is the body of an answer that reports an error.
 type problem struct {
 	Kind    fault.Kind `json:"kind"`
--- a/internal/slots/core.go
+++ b/internal/slots/core.go
@@ -215,3 +215,6 @@
 
 // Epoch returns the epoch of the slots' home as this host knows it.
 func (c *Core) Epoch() fence.Epoch { return c.marks.Last().Epoch }
+
+// Idle reports whether the core holds nothing that a home may need.
+func (c *Core) Idle() bool { return c.home == nil && len(c.running) == 0 }
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -55,7 +55,7 @@
 		return nil, err
 	}
 	s.Packets = newPacketServer(s.udp, c.Address, c.Return)
-	s.HTTP = newHTTPServer(c.ID, c.Service)
+	s.HTTP = newHTTPServer(c.ID, c.Service, c.Slots)
 	s.web = &http.Server{Handler: s.HTTP, ReadHeaderTimeout: time.Minute}
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
--- /dev/null
+++ b/internal/state/first.go
@@ -0,0 +1,19 @@
+package state
+
+import "greengagequay/internal/settings"
+
+// FirstSet returns the revision of the first change that set the key at the
+// path. It reports false if none did or the first changes are no longer kept.
+func (s *State) FirstSet(path, key string) (uint64, bool) {
+	if len(s.history) >= maxAnswers {
+		return 0, false
+	}
+	for _, c := range s.history {
+		for _, op := range c.Ops {
+			if op.Action == settings.Set && op.Path == path && op.Key == key {
+				return c.Revision, true
+			}
+		}
+	}
+	return 0, false
+}
--- a/internal/table/placement.go
+++ b/internal/table/placement.go
@@ -35,6 +35,10 @@
 	Relay netip.AddrPort
 	// Incarnation separates restarts of the host.
 	Incarnation uint64
+	// State tells whether the host may be a home: alive, leaving or dead.
+	State model.HostState
+	// Returns counts how often the host restarted or came back from dead.
+	Returns uint32
 }
 
 // Placement is the replicated part of the table. It is not safe for
