--- a/internal/daemon/requests.go
+++ b/internal/daemon/requests.go
@@ -45,7 +45,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, handOverLimit)
 	defer cancel()
-	d.leaving.Store(true)
+	d.Members.Leaving()
 	for ctx.Err() == nil && !d.homes.HandedOver() {
 		d.pause(ctx, flowInterval)
 	}
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -27,6 +28,7 @@
 type HTTPCounts struct {
 	Runs     map[string]int // by key
 	Attempts map[string]int // by attempt id
+	Targets  map[string]int // by path and query
 	Total    int            // requests that ran
 	Cut      int            // uploads that were cut off; they did not run
 	Shed     int
@@ -63,7 +65,7 @@
 
 func newHTTPServer(id, service string, slots int) *HTTPServer {
 	s := &HTTPServer{id: id, service: service, slots: slots}
-	s.counts = HTTPCounts{Runs: map[string]int{}, Attempts: map[string]int{}}
+	s.counts = HTTPCounts{Runs: map[string]int{}, Attempts: map[string]int{}, Targets: map[string]int{}}
 	s.Behave(Behavior{})
 	return s
 }
@@ -96,6 +98,7 @@
 	s.count(func(c *HTTPCounts) {
 		c.Total++
 		c.Attempts[attempt]++
+		c.Targets[r.URL.RequestURI()]++
 		if key := r.Header.Get(request.HeaderKey); key != "" {
 			c.Runs[key]++
 		}
@@ -183,13 +186,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := s.counts
-	c.Runs, c.Attempts = map[string]int{}, map[string]int{}
-	for key, n := range s.counts.Runs {
-		c.Runs[key] = n
-	}
-	for attempt, n := range s.counts.Attempts {
-		c.Attempts[attempt] = n
-	}
+	c.Runs, c.Attempts, c.Targets = maps.Clone(c.Runs), maps.Clone(c.Attempts), maps.Clone(c.Targets)
 	return c
 }
 
