--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"greengagequay/internal/entry"
 	"greengagequay/internal/follow"
 	"greengagequay/internal/gossip"
+	"greengagequay/internal/homes"
 	"greengagequay/internal/logs"
 	"greengagequay/internal/metrics"
 	"greengagequay/internal/model"
@@ -51,6 +52,7 @@
 	transport    *control.RPCTransport
 	api          *http.Server
 	requests     *http.Server
+	homes        *homes.Homes // nil unless an entry host
 	streams      []*entry.Stream
 	flows        *flows // nil unless an entry host
 	cancel       context.CancelFunc
@@ -114,7 +116,9 @@
 			return err
 		}
 		d.run(func() { d.reportFlows(ctx) })
-		d.startRequests(ctx)
+		if err := d.startRequests(ctx); err != nil {
+			return err
+		}
 		d.startStreams()
 	}
 	return d.startAPI()
@@ -164,6 +168,7 @@
 	for _, s := range d.streams {
 		s.Close()
 	}
+	d.leaveHomes(ctx)
 	var errs []error
 	if d.requests != nil {
 		errs = append(errs, d.requests.Shutdown(ctx))
@@ -182,6 +187,9 @@
 // Kill ends the process at once, as a crash would.
 func (d *Daemon) Kill() {
 	d.cancel()
+	if d.homes != nil {
+		d.homes.Close()
+	}
 	d.bound.Close()
 	_ = d.api.Close()
 	if d.requests != nil {
