--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -11,6 +11,7 @@
 	"greengagequay/internal/clock"
 	"greengagequay/internal/fault"
 	"greengagequay/internal/logs"
+	"greengagequay/internal/metrics"
 	"greengagequay/internal/raft"
 	"greengagequay/internal/replica"
 	"greengagequay/internal/wal"
@@ -27,6 +28,7 @@
 	Transport Transport
 	Clock     clock.Clock
 	Log       *logs.Part
+	Metrics   *metrics.Registry
 	Rand      *rand.Rand    // spreads election timeouts
 	Random    func() uint64 // unpredictable source of identities and of the seed of the flow hash
 }
@@ -46,6 +48,7 @@
 	requests chan func(now time.Duration)
 	incoming chan Envelope
 	status   atomic.Pointer[published]
+	metrics  logMetrics
 	cancel   context.CancelFunc
 	done     sync.WaitGroup
 }
@@ -80,7 +83,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &Host{
-		Options: o, engine: e, started: o.Clock.Now(), cancel: cancel,
+		Options: o, engine: e, started: o.Clock.Now(), cancel: cancel, metrics: newLogMetrics(o.Metrics),
 		requests: make(chan func(time.Duration), requestQueue), incoming: make(chan Envelope, messageQueue),
 	}
 	e.seed = func() uint64 { return o.Random() | 1 }
@@ -130,6 +133,7 @@
 		h.engine.receive(now, envelope)
 		h.drain()
 		h.engine.process(now)
+		h.metrics.processed(h.now() - now)
 		h.publish(now)
 	}
 }
@@ -155,6 +159,7 @@
 		blocked: h.engine.blocked(), blank: h.engine.blank(now),
 	}
 	was := h.status.Swap(next)
+	h.metrics.update(was, next)
 	if was != nil {
 		h.logChange(was, next)
 	}
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -108,7 +108,11 @@
 // in a log: so a host whose disk was lost does not start a second log beside
 // the one it was a member of.
 func (h *Host) bootstrap(ctx context.Context) {
+	if !h.status.Load().blank {
+		return
+	}
 	if !h.Bootstrap || len(h.Peers) == 0 || h.Peers[0].Name != h.Name {
+		h.Log.Infof("waits to be a member: 'quayctl control add %s %s'", h.Name, h.Addr)
 		return
 	}
 	for ctx.Err() == nil && h.status.Load().blank {
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -40,7 +40,7 @@
 	d.transport = control.NewRPCTransport(d.client)
 	d.commits, err = control.Open(control.Options{
 		Name: d.Config.Name, Addr: d.Config.RPC, Peers: peers, Bootstrap: d.Config.Bootstrap,
-		Disk: disk, Replica: d.Replica, Transport: d.transport, Clock: d.clock, Log: d.logs.Part("control"),
+		Disk: disk, Replica: d.Replica, Transport: d.transport, Clock: d.clock, Log: d.logs.Part("control"), Metrics: d.Metrics,
 		Rand:   mathrand.New(mathrand.NewPCG(randomUint64(), randomUint64())),
 		Random: randomUint64,
 	})
--- a/internal/raft/append.go
+++ b/internal/raft/append.go
@@ -95,6 +95,9 @@
 		n.send(answer)
 		return
 	}
+	if !contiguous(m) {
+		return // no leader sends this
+	}
 	if err := n.log.merge(m.Entries); err != nil {
 		return // the sender does not decode either; nothing is acknowledged
 	}
@@ -104,6 +107,15 @@
 	n.send(answer)
 }
 
+func contiguous(m Message) bool {
+	for i, e := range m.Entries {
+		if e.Index != m.Index+uint64(i)+1 {
+			return false
+		}
+	}
+	return true
+}
+
 func (n *Node) handleSnapshot(m Message) {
 	n.hears(m.From)
 	s := m.Snapshot
--- a/internal/raft/cluster_test.go
+++ b/internal/raft/cluster_test.go
@@ -289,3 +289,16 @@
 	})
 	c.run("commit of the change", func() bool { _, ok := c.chosen[index]; return ok })
 }
+
+// appliedOn waits until the given members have applied index.
+func (c *cluster) appliedOn(index uint64, ids ...ID) {
+	c.tb.Helper()
+	c.run("applied", func() bool {
+		for _, id := range ids {
+			if c.applied[id] < index {
+				return false
+			}
+		}
+		return true
+	})
+}
