--- a/internal/cli/control.go
+++ b/internal/cli/control.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"io"
 	"os"
+	"time"
 
 	"greengagequay/internal/api"
 	"greengagequay/internal/control"
@@ -149,7 +150,7 @@
 	if err != nil {
 		return err
 	}
-	revision, err := control.Restore(disk, c.Name, c.RPC, data, randomUint64)
+	revision, err := control.Restore(disk, c.Name, c.RPC, data, time.Now(), randomUint64)
 	if err != nil {
 		return err
 	}
--- a/internal/control/backup.go
+++ b/internal/control/backup.go
@@ -1,22 +1,31 @@
 package control
 
 import (
+	"time"
+
 	"greengagequay/internal/fault"
 	"greengagequay/internal/raft"
 	"greengagequay/internal/state"
 	"greengagequay/internal/wal"
 )
 
-// restoreGap is added to the revision of a restored state. It is larger than
-// any number of revisions that were given out after the backup, so that hosts
-// which still hold one of those take the restored state.
+// restoreGap is the least by which the revision of a restored state is above
+// that of the backup.
 const restoreGap = 1 << 32
 
+// restoredRevision returns a revision above any that was given out since the
+// backup, so that hosts which still hold one of those take the restored state.
+// The time in microseconds grows faster than revisions, so that a second
+// restore from the same backup comes after the first one too.
+func restoredRevision(backup uint64, now time.Time) uint64 {
+	return max(backup+restoreGap, uint64(now.UnixMicro()))
+}
+
 func encodeBackup(s raft.Snapshot) []byte { return wal.EncodeBackup(s) }
 
 // Restore fills an empty data folder from a backup file. The host that starts
 // on it is the only voter of a new log. It returns the restored revision.
-func Restore(d wal.Disk, name, addr string, backup []byte, random func() uint64) (uint64, error) {
+func Restore(d wal.Disk, name, addr string, backup []byte, now time.Time, random func() uint64) (uint64, error) {
 	s, err := wal.DecodeBackup("of the backup", backup)
 	if err != nil {
 		return 0, err
@@ -28,7 +37,7 @@
 	if st.Revision != s.Index {
 		return 0, fault.New(fault.Corrupt, "use another backup", "the backup is of revision %d, but its state of revision %d", s.Index, st.Revision)
 	}
-	st.Revision += restoreGap
+	st.Revision = restoredRevision(st.Revision, now)
 	data, err := st.Snapshot()
 	if err != nil {
 		return 0, err
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -218,15 +219,16 @@
 		snap.Data, _ = st.Snapshot()
 	})
 	h := &simHost{name: "d", disk: &memDisk{files: map[string]*memFile{}}}
-	restored, err := Restore(h.disk, "d", "d", encodeBackup(snap), s.rand.Uint64)
+	restored, err := Restore(h.disk, "d", "d", encodeBackup(snap), time.Unix(5000, 0), s.rand.Uint64)
 	c.Assert(err, qt.IsNil)
 	c.Assert(restored > revision+1000, qt.IsTrue)
+	c.Assert(restoredRevision(revision, time.Unix(6000, 0)) > restored+1000, qt.IsTrue) // a second restore
 	s.hosts = []*simHost{h}
 	s.start(h)
 	again := s.submit(s.leader(), write("change", 10))
 	s.until("an answer", again.known)
 	c.Assert(again.result.Revision, qt.Equals, revision)
 	s.accept("new", 11)
-	_, err = Restore(&memDisk{files: map[string]*memFile{}}, "d", "d", []byte("no backup"), s.rand.Uint64)
+	_, err = Restore(&memDisk{files: map[string]*memFile{}}, "d", "d", []byte("no backup"), time.Time{}, s.rand.Uint64)
 	c.Assert(fault.KindOf(err), qt.Equals, fault.Corrupt)
 }
--- a/internal/daemon/control_test.go
+++ b/internal/daemon/control_test.go
@@ -36,7 +36,7 @@
 	for i := range 3 {
 		b, err := Bind(config.Config{
 			Name: fmt.Sprintf("host-%d", i), Zone: "rvk-a", Roles: []config.Role{config.Control}, Data: c.TempDir(), Bootstrap: true,
-			RPC: anyPort, API: anyPort, Log: config.Log{Level: "warn", Format: "text"},
+			RPC: anyPort, API: anyPort, Gossip: anyPort, Log: config.Log{Level: "warn", Format: "text"},
 		})
 		c.Assert(err, qt.IsNil)
 		bounds = append(bounds, b)
