Reset flows that a silent middle has forgotten, in the driver

Cause: the detection of stalls had a unit test alone.

Change: a scenario mutes one flow in ten; hosts detect stalls in all scenarios, so that a reset of a healthy flow counts as broken.

--- a/internal/route/scenario_test.go
+++ b/internal/route/scenario_test.go
@@ -170,7 +170,15 @@
 		s.open(len(s.flows)/2, *simZones)
 		s.drainInTurn(40 * time.Second)
 	}},
+	{"a silent middle forgets flows", func(s *sim) {
+		s.patience = 4 * time.Minute
+		for i, f := range s.flows {
+			f.muted = i%10 == 0 && f.at != nil
+		}
+		s.run(s.patience)
+	}},
 	{"zone cut off, then healed", func(s *sim) {
+		s.stall = time.Hour // else flows across the cut are reset
 		zone := s.hosts[0].Zone
 		s.cut, s.fabric, s.cutAt = zone, zone, s.now
 		s.run(5 * time.Second)
@@ -200,7 +208,7 @@
 func TestScenarios(t *testing.T) {
 	out := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	if *simTable {
-		fmt.Fprintln(out, "SCENARIO\tVERSION\tSEED\tOPENED\tBROKEN\tSILENT\tRESET\tUNSERVED\tMISDELIVERED\tNEW ON DRAINING\tRELAYED\tCONTROL B/S/HOST")
+		fmt.Fprintln(out, "SCENARIO\tVERSION\tSEED\tOPENED\tBROKEN\tSILENT\tRESET\tSTALLED\tUNSERVED\tMISDELIVERED\tNEW ON DRAINING\tRELAYED\tCONTROL B/S/HOST")
 		defer out.Flush()
 	}
 	for _, sc := range scenarios {
@@ -222,6 +230,6 @@
 	}
 	if *simTable {
 		rate := float64(c.controlBytes) / s.now.Seconds() / float64(len(s.hosts))
-		fmt.Fprintf(out, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f%%\t%.0f\n", name, version, seed, c.opened, c.broken, c.silent, c.reset, c.unserved, c.misdelivered, c.lateNew, 100*float64(c.relays)/float64(c.packets), rate)
+		fmt.Fprintf(out, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f%%\t%.0f\n", name, version, seed, c.opened, c.broken, c.silent, c.reset, c.stalled, c.unserved, c.misdelivered, c.lateNew, 100*float64(c.relays)/float64(c.packets), rate)
 	}
 }
--- a/internal/route/sim_test.go
+++ b/internal/route/sim_test.go
@@ -22,9 +22,9 @@
 	firstResend = 250 * time.Millisecond // of any other
 	lively      = 3 * time.Second        // a new flow sends more often for this long
 	lastResend  = 8 * time.Second        // the pause grows to this
-	maxResends  = 12
-	simIdle     = 25 * time.Second // longer than a flow with lost packets is silent
-	talkEvery   = 8 * time.Second  // between two packets of a flow
+	patience    = 56 * time.Second       // a caller gives up after this time
+	simIdle     = 25 * time.Second       // longer than a flow with lost packets is silent
+	talkEvery   = 8 * time.Second        // between two packets of a flow
 	simBuckets  = 256
 	lossAfter   = 3 * time.Second // silence after which a host or backend server counts as lost
 )
@@ -46,15 +46,17 @@
 	loss     float64       // share of packets and messages that are lost
 	cut      string        // zone that is cut off
 	cutAt    time.Duration
-	fabric   string // zone that the fabric keeps apart
+	fabric   string        // zone that the fabric keeps apart
+	patience time.Duration // a caller gives up after this time
+	stall    time.Duration // flows that repeat themselves this long are reset
 	count    counts
 }
 
 // counts is what a run reports.
 type counts struct {
-	opened, broken, silent, reset, misdelivered, doubled, lateNew, unserved int
-	packets, relays                                                         int
-	controlBytes                                                            int64
+	opened, broken, silent, reset, misdelivered, doubled, lateNew, unserved, stalled int
+	packets, relays                                                                  int
+	controlBytes                                                                     int64
 }
 
 type simHost struct {
@@ -65,6 +67,7 @@
 	view        *route.View
 	router      *route.Router
 	keeper      *route.Keeper
+	stalls      *route.Stalls
 	local       map[uint64]table.BackendNum // of the naive versions
 	seen        uint64                      // revision that the controller knows of
 	isCut       bool
@@ -84,10 +87,11 @@
 	packet  flow.Packet
 	at      *simBackend // backend server that the caller talks to
 	waiting bool
-	resends int
+	saidAt  time.Duration // when the packet that waits was sent first
 	dialed  time.Duration // when the first packet was sent
 	gen     int           // invalidates timers
 	ended   bool
+	muted   bool // something between backend server and caller forgot the flow
 }
 
 type event struct {
@@ -171,7 +175,7 @@
 }
 
 func newSim(seed uint64, version string, hosts, zones, flows int) *sim {
-	s := &sim{rand: rand.New(rand.NewPCG(seed, 1)), version: version, loss: 0.01, late: usualLate}
+	s := &sim{rand: rand.New(rand.NewPCG(seed, 1)), version: version, loss: 0.01, late: usualLate, stall: 20 * time.Second, patience: patience}
 	s.ctl = newSimControl(s, zones)
 	for i := range hosts {
 		s.addHost(fmt.Sprint("host-", i), fmt.Sprint("zone-", i%zones))
@@ -239,6 +243,10 @@
 			home := s.host(header.Home)
 			s.message(h, home, func() { home.router.Confirmed(s.seconds(), header) })
 		}
+		if !s.isNaive() && h.stalls.Seen(s.time(), s.stall, v.Flow, p) {
+			s.after(s.delay(), func() { f.resetBy(s, nil) })
+			return
+		}
 		b := s.byNum[v.Backend]
 		if !s.apart(h.Zone, b.Zone) && s.rand.Float64() >= s.loss {
 			s.after(s.delay(), func() { b.take(s, f, p) })
--- a/internal/route/simcallers_test.go
+++ b/internal/route/simcallers_test.go
@@ -44,7 +44,7 @@
 		Src: netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), SrcPort: uint16(s.rand.IntN(60000) + 1024),
 		Dst: a.Addr(), DstPort: a.Port(), Proto: 6, SYN: true, Seq: s.rand.Uint32(),
 	}
-	f.at, f.ended = nil, false
+	f.at, f.ended, f.muted = nil, false, false
 	f.dialed = s.now
 	s.count.opened++
 	s.say(f, openResend)
@@ -52,7 +52,7 @@
 
 // say sends a packet, again with growing pauses until it is answered.
 func (s *sim) say(f *simFlow, pause time.Duration) {
-	f.waiting, f.resends = true, 0
+	f.waiting, f.saidAt = true, s.now
 	f.gen++
 	s.send(f, f.gen, pause)
 }
@@ -61,7 +61,7 @@
 	if f.gen != gen || f.ended {
 		return
 	}
-	if f.resends++; f.resends > maxResends {
+	if s.now > f.saidAt+s.patience {
 		f.end(s, &s.count.silent)
 		return
 	}
@@ -88,7 +88,7 @@
 		s.after(s.delay(), func() { f.resetBy(s, b) })
 		return
 	}
-	if s.rand.Float64() >= s.loss && !s.apart(b.Zone, f.zone) {
+	if !f.muted && s.rand.Float64() >= s.loss && !s.apart(b.Zone, f.zone) {
 		src := p.SrcPort
 		s.after(s.delay(), func() { f.answer(s, b, src, p.SYN) })
 	}
@@ -111,7 +111,7 @@
 	}
 	if f.at == nil && syn {
 		f.at = b
-		f.packet.SYN, f.packet.ACK = false, true
+		f.packet.SYN, f.packet.ACK, f.packet.Payload = false, true, 100
 	}
 	if f.at != b {
 		s.count.doubled++ // the opening packet went two ways
@@ -141,6 +141,10 @@
 	if f.ended {
 		return
 	}
+	if f.muted {
+		f.end(s, &s.count.stalled)
+		return
+	}
 	if f.at != nil && f.at.dead {
 		f.end(s, &s.count.reset)
 		return
--- a/internal/route/simhosts_test.go
+++ b/internal/route/simhosts_test.go
@@ -13,6 +13,7 @@
 	h.Incarnation++
 	h.up, h.leaving, h.seen = true, false, 0
 	h.local = map[uint64]table.BackendNum{}
+	h.stalls = route.NewStalls()
 	h.router = route.NewRouter(1 << 20)
 	h.keeper = route.NewKeeper(h.router, func(string) time.Duration { return simIdle })
 	h.table, h.view = nil, nil
