--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -42,6 +42,7 @@
 	Backends backendsCmd `cmd:"" help:"List backend servers."`
 	Hosts    hostsCmd    `cmd:"" help:"List hosts of the system."`
 	Status   statusCmd   `cmd:"" help:"Show revision, leader and hosts that lag behind."`
+	Control  controlCmd  `cmd:"" help:"Operate the control hosts: members, backup, restore."`
 	Drain    drainCmd    `cmd:"" help:"Take new work away from a backend server."`
 	Standin  standinCmd  `cmd:"" help:"Run a stand-in backend server, for trials."`
 	Demo     demoCmd     `cmd:"" help:"Run a small system on loopback and report what callers saw."`
@@ -79,9 +80,9 @@
 }
 
 func printError(w io.Writer, err error) {
-	f := fault.From(explain(err))
+	f := fault.From(apiclient.Explain(err))
 	fmt.Fprintf(w, "quayctl: %s\n", f.Message)
-	for _, c := range changedSince(err) {
+	for _, c := range apiclient.ChangedSince(err) {
 		for _, op := range c.Ops {
 			fmt.Fprintf(w, "changed at revision %d by %s: %s %s %s %s\n", c.Revision, c.Author, op.Action, op.Path, op.Key, op.Value.Value)
 		}
