--- a/internal/route/scenario_test.go
+++ b/internal/route/scenario_test.go
@@ -208,7 +208,7 @@
 func TestScenarios(t *testing.T) {
 	out := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	if *simTable {
-		fmt.Fprintln(out, "SCENARIO\tVERSION\tSEED\tOPENED\tBROKEN\tSILENT\tRESET\tSTALLED\tUNSERVED\tMISDELIVERED\tNEW ON DRAINING\tRELAYED\tCONTROL B/S/HOST")
+		fmt.Fprintln(out, "SCENARIO\tVERSION\tSEED\tOPENED\tBROKEN\tSILENT\tRESET\tSTALLED\tUNSERVED\tMISDELIVERED\tNEW ON DRAINING\tMAX/MEAN\tRELAYED\tCONTROL B/S/HOST")
 		defer out.Flush()
 	}
 	for _, sc := range scenarios {
@@ -222,6 +222,20 @@
 	}
 }
 
+// imbalance returns the most open flows of a ready backend server of the first
+// service, as a multiple of their mean.
+func (s *sim) imbalance() float64 {
+	most, total, n := 0, 0, 0
+	for _, b := range s.backends {
+		if b.Service == simServices[0].name && b.State == model.Ready && !b.dead {
+			most = max(most, len(b.accepted))
+			total += len(b.accepted)
+			n++
+		}
+	}
+	return float64(most) * float64(n) / float64(total)
+}
+
 func checkScenario(t *testing.T, out *tabwriter.Writer, name, version string, seed uint64, do func(*sim)) {
 	s := runScenario(seed, version, do)
 	c := s.count
@@ -230,6 +244,6 @@
 	}
 	if *simTable {
 		rate := float64(c.controlBytes) / s.now.Seconds() / float64(len(s.hosts))
-		fmt.Fprintf(out, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f%%\t%.0f\n", name, version, seed, c.opened, c.broken, c.silent, c.reset, c.stalled, c.unserved, c.misdelivered, c.lateNew, 100*float64(c.relays)/float64(c.packets), rate)
+		fmt.Fprintf(out, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.3f\t%.1f%%\t%.0f\n", name, version, seed, c.opened, c.broken, c.silent, c.reset, c.stalled, c.unserved, c.misdelivered, c.lateNew, s.imbalance(), 100*float64(c.relays)/float64(c.packets), rate)
 	}
 }
