Parse IPv6 packets after a truncated IPv4 packet

Cause: the parser looked at the truncation marks of both versions, and that of the other version was left from an earlier packet: after one truncated IPv4 packet, every IPv6 packet was refused until a whole IPv4 packet came. Found by the first test of the parser.

Change: only the mark of the packet's own version counts.

--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -77,16 +77,16 @@
 		return malformed("it is empty")
 	}
 	*out = Packet{}
-	var err error
+	var version *gopacket.DecodingLayerParser
 	switch data[0] >> 4 {
 	case 4:
-		err = p.v4.DecodeLayers(data, &p.decoded)
+		version = p.v4
 	case 6:
-		err = p.v6.DecodeLayers(data, &p.decoded)
+		version = p.v6
 	default:
 		return malformed("its version is neither 4 nor 6")
 	}
-	if err != nil || p.v4.Truncated || p.v6.Truncated {
+	if err := version.DecodeLayers(data, &p.decoded); err != nil || version.Truncated {
 		return malformed("it is cut short")
 	}
 	return p.fill(data, out)
