Leave once the homes have moved

Cause: a host that leaves waited for a revision that rose while it waited, up to its limit of 5 s.

Change: the host waits for the revision at which it is no longer a home.

--- a/internal/daemon/flows.go
+++ b/internal/daemon/flows.go
@@ -160,22 +160,33 @@
 	ctx, cancel := context.WithTimeout(ctx, leaveLimit)
 	defer cancel()
 	d.Members.Leaving()
-	for ctx.Err() == nil && !d.handedOver() {
+	for ctx.Err() == nil && d.flows.isHome() {
+		d.pause(ctx, flowInterval)
+	}
+	revision := d.Replica.Revision()
+	for ctx.Err() == nil && !d.inForce(revision) {
 		d.pause(ctx, flowInterval)
 	}
 }
 
-func (d *Daemon) handedOver() bool {
-	view := d.flows.views.view()
+// isHome reports whether the host is the home of a moving bucket.
+func (f *flows) isHome() bool {
+	view := f.views.view()
 	for _, svc := range view.Table.ByName {
 		for i := range svc.Buckets {
 			if svc.Buckets[i].Moving() && svc.Buckets[i].Home == view.Self() {
-				return false
+				return true
 			}
 		}
 	}
+	return false
+}
+
+// inForce reports whether the revision is in force on all entry hosts that are
+// alive, as far as this host knows.
+func (d *Daemon) inForce(revision uint64) bool {
 	for _, h := range d.Members.Hosts() {
-		if h.Entry && h.State == model.Alive && h.Revision < view.Table.Revision {
+		if h.Entry && h.State == model.Alive && h.Revision < revision {
 			return false
 		}
 	}
