--- a/internal/route/scenario_test.go
+++ b/internal/route/scenario_test.go
@@ -213,6 +213,9 @@
 	}
 	for _, sc := range scenarios {
 		t.Run(sc.name, func(t *testing.T) {
+			if !*simTable {
+				t.Parallel()
+			}
 			for i := range *seeds {
 				for _, version := range strings.Split(*simVersions, ",") {
 					checkScenario(t, out, sc.name, version, *firstSeed+uint64(i), sc.do)
