--- a/internal/place/advance.go
+++ b/internal/place/advance.go
@@ -16,9 +16,12 @@
 		s.r.homes.note(&s.buckets[i], 1)
 	}
 	for i := range s.buckets {
-		if s.buckets[i].Moving() {
-			s.set(i, s.advance(i, s.buckets[i]))
+		if !s.buckets[i].Moving() {
+			continue
 		}
+		b := s.advance(i, s.buckets[i])
+		s.stepped[i] = b.Phase != s.buckets[i].Phase
+		s.set(i, b)
 	}
 }
 
@@ -27,7 +30,7 @@
 	home := b.Home
 	s.r.homes.repair(&b, bucketKey(s.name, i))
 	if b.Home != home {
-		s.fixed[i] = true
+		s.rehomed[i] = true
 		return b // a phase changes only once the change of home is in force
 	}
 	if next, done := s.forget(b); done {
--- a/internal/place/backends.go
+++ b/internal/place/backends.go
@@ -20,7 +20,9 @@
 	for _, b := range r.in.Current.Backends {
 		unheard[backendID{b.Service, b.ID}] = b
 	}
+	heard := make(map[string]bool, len(r.in.Backends))
 	for _, announced := range r.in.Backends {
+		heard[announced.ID] = true
 		id := backendID{announced.Service, announced.ID}
 		old, known := unheard[id]
 		delete(unheard, id)
@@ -28,7 +30,11 @@
 	}
 	silent := slices.SortedFunc(maps.Values(unheard), func(a, b table.Backend) int { return cmp.Compare(a.Num, b.Num) })
 	for _, b := range silent {
-		r.planSilent(b)
+		if heard[b.ID] {
+			r.planGone(b) // it serves another service now
+		} else {
+			r.planSilent(b)
+		}
 	}
 	for _, list := range r.services {
 		slices.SortFunc(list, func(a, b *member) int { return cmp.Compare(a.Num, b.Num) })
--- a/internal/place/homes.go
+++ b/internal/place/homes.go
@@ -17,7 +17,6 @@
 type homeChooser struct {
 	hosts map[table.HostNum]*hostView
 	fit   []*hostView // in the order of their numbers
-	total int         // roles given
 }
 
 func newHomeChooser(hosts map[table.HostNum]*hostView) homeChooser {
@@ -30,12 +29,16 @@
 	return c
 }
 
+// roles returns the hosts of the bucket, 0 where there is none.
+func roles(b *table.Bucket) [1 + table.MaxBackups]table.HostNum {
+	return [1 + table.MaxBackups]table.HostNum{b.Home, b.Backups[0], b.Backups[1]}
+}
+
 // note counts the roles that a bucket gives to hosts.
 func (c *homeChooser) note(b *table.Bucket, by int) {
-	for _, n := range append([]table.HostNum{b.Home}, b.Backups[:]...) {
+	for _, n := range roles(b) {
 		if h := c.hosts[n]; h != nil {
 			h.load += by
-			c.total += by
 		}
 	}
 }
@@ -77,7 +80,6 @@
 		return 0
 	}
 	best.load++
-	c.total++
 	return best.Num
 }
 
@@ -88,7 +90,7 @@
 // sharedZones counts the hosts of the bucket in the zone.
 func (c *homeChooser) sharedZones(b *table.Bucket, zone string) int {
 	n := 0
-	for _, num := range append([]table.HostNum{b.Home}, b.Backups[:]...) {
+	for _, num := range roles(b) {
 		if h := c.hosts[num]; h != nil && h.Zone == zone {
 			n++
 		}
@@ -99,8 +101,10 @@
 // repair removes hosts that lost their records from the bucket's roles, hands
 // the home over where it must go, and fills the gaps.
 func (c *homeChooser) repair(b *table.Bucket, key uint64) {
-	before := *b
-	c.note(&before, -1)
+	if c.complete(b) {
+		return
+	}
+	c.note(b, -1)
 	c.dropBackups(b)
 	home := c.hosts[b.Home]
 	switch {
@@ -113,6 +117,16 @@
 	c.fill(b, key)
 }
 
+// complete reports whether nothing is to be repaired.
+func (c *homeChooser) complete(b *table.Bucket) bool {
+	for _, n := range roles(b) {
+		if h := c.hosts[n]; h == nil || !h.keeps || h.leaving {
+			return false
+		}
+	}
+	return true
+}
+
 // dropBackups removes the backups that lost their records.
 func (c *homeChooser) dropBackups(b *table.Bucket) {
 	var kept table.Bucket
--- a/internal/place/load.go
+++ b/internal/place/load.go
@@ -19,11 +19,23 @@
 	gainAtFullWeight = 8
 	minFactor        = 0.5
 	maxFactor        = 1.5
+	// factorStep is the least change of a factor. Smaller ones would move
+	// buckets to and fro as flows come and go by chance.
+	factorStep = 0.08
 	// noiseLimit is the imbalance, in standard deviations of a count of flows
 	// placed by chance, below which nothing is corrected.
 	noiseLimit = 2
 )
 
+// After a backend server has come or gone, the correction is stronger for a
+// time: one that starts with no flows takes most of the new ones.
+const (
+	boostTime      = 90 * time.Second
+	boostGain      = 2 // times the usual gain
+	boostMinFactor = 0
+	boostMaxFactor = 2
+)
+
 // Claimed load.
 const (
 	claimFresh   = 30 * time.Second // an unchanged claim counts this long
@@ -36,7 +48,9 @@
 // balance is what the planner remembers of a service's load.
 type balance struct {
 	evaluated time.Time
-	active    bool // a correction is under way
+	members   int       // usable at that time
+	changed   time.Time // when that number changed
+	active    bool      // a correction is under way
 	factors   map[table.BackendNum]float64
 	claims    map[table.BackendNum]claim
 }
@@ -61,8 +75,7 @@
 		s.r.planner.balances[s.name] = bal
 	}
 	usable := s.usableMembers()
-	if s.r.in.Now.Sub(bal.evaluated) >= balanceInterval {
-		bal.evaluated = s.r.in.Now
+	if bal.due(len(usable), s.r.in.Now) {
 		bal.evaluate(usable, s.r.in.Flows, s.cfg.imbalance)
 		bal.judgeClaims(usable, s.r.in.Now)
 	}
@@ -71,6 +84,19 @@
 	}
 }
 
+// due reports whether load is to be judged now, and notes that it is.
+func (b *balance) due(members int, now time.Time) bool {
+	if b.members == members && now.Sub(b.evaluated) < balanceInterval {
+		return false
+	}
+	if b.members != members && b.members > 0 {
+		b.changed = now
+	}
+	b.members = members
+	b.evaluated = now
+	return true
+}
+
 func (s *servicePlan) usableMembers() []*member {
 	var list []*member
 	for _, m := range s.members {
@@ -83,19 +109,23 @@
 
 // parts returns the member's factor in parts of factorScale.
 func (b *balance) parts(n table.BackendNum) int64 {
-	f, ok := b.factors[n]
-	if !ok {
-		f = 1
-	}
+	f := b.factor(n)
 	if b.claims[n].counts {
 		f *= claimFactor
 	}
 	return int64(math.Round(f * factorScale))
 }
 
+func (b *balance) factor(n table.BackendNum) float64 {
+	if f, ok := b.factors[n]; ok {
+		return f
+	}
+	return 1
+}
+
 // evaluate sets the factors from the counted flows. A correction begins when
-// the imbalance is worth it and goes on until it has halved; in between the
-// factors stay, so that moves do not go to and fro.
+// the imbalance is worth it and goes on until it has halved. In between the
+// factors stay.
 func (b *balance) evaluate(members []*member, flows map[table.BackendNum]float64, imbalance float64) {
 	ratios, mean := loadRatios(members, flows)
 	if ratios == nil {
@@ -115,12 +145,25 @@
 	if !b.active {
 		return
 	}
+	boosted := b.evaluated.Sub(b.changed) < boostTime
 	for i, m := range members {
-		f := 1 - gainAtFullWeight*imbalance*(ratios[i]-1)
-		b.factors[m.Num] = min(max(f, minFactor), maxFactor)
+		f := factor(ratios[i], imbalance, boosted)
+		if math.Abs(f-b.factor(m.Num)) >= factorStep {
+			b.factors[m.Num] = f
+		}
 	}
 }
 
+// factor returns the correction for a member with the given load ratio.
+func factor(ratio, imbalance float64, boosted bool) float64 {
+	if boosted {
+		f := 1 - boostGain*gainAtFullWeight*imbalance*(ratio-1)
+		return min(max(f, boostMinFactor), boostMaxFactor)
+	}
+	f := 1 - gainAtFullWeight*imbalance*(ratio-1)
+	return min(max(f, minFactor), maxFactor)
+}
+
 // loadRatios returns each member's flows in relation to its share by weight,
 // and the mean number of flows. It returns nil while too little is counted.
 func loadRatios(members []*member, flows map[table.BackendNum]float64) ([]float64, float64) {
--- a/internal/place/move.go
+++ b/internal/place/move.go
@@ -15,7 +15,7 @@
 func (s *servicePlan) replaceUnusable() {
 	for i := range s.buckets {
 		b := s.at(i)
-		if s.r.isUsable(owner(&b)) || s.fixed[i] {
+		if s.r.isUsable(owner(&b)) || s.held(i) {
 			continue
 		}
 		to := s.bestFor(&b)
@@ -54,14 +54,14 @@
 }
 
 // balance moves buckets from members that have more than their quota to those
-// that have less. It prefers buckets that the receiver had before and that
-// need no relay yet.
+// that have less. It prefers buckets that the receiver had before, then those
+// that move already, so that few buckets need a relay.
 func (s *servicePlan) balance() {
 	receivers := s.lacking()
 	if len(receivers) == 0 {
 		return
 	}
-	for _, find := range []func(*table.Bucket, []*member) *member{s.formerOwner, s.forStable, s.forMoving} {
+	for _, find := range []func(*table.Bucket, []*member) *member{s.formerOwner, s.forMoving, s.forStable} {
 		if !s.balanceBy(find, receivers) {
 			return
 		}
@@ -74,7 +74,7 @@
 	for i := range s.buckets {
 		b := s.at(i)
 		from := s.r.member(owner(&b))
-		if from == nil || from.deficit() >= 0 || s.fixed[i] || !s.mayRetarget(&b) {
+		if from == nil || from.deficit() >= 0 || s.held(i) || !s.mayRetarget(&b) {
 			continue
 		}
 		to := find(&b, receivers)
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -68,6 +68,7 @@
 	first    map[string]time.Time           // first usable backend server of a service without buckets
 	limits   map[string]*limit
 	balances map[string]*balance
+	quiet    map[string]quiet
 	config   configCache
 }
 
@@ -79,6 +80,7 @@
 		first:    map[string]time.Time{},
 		limits:   map[string]*limit{},
 		balances: map[string]*balance{},
+		quiet:    map[string]quiet{},
 	}
 }
 
--- a/internal/place/round.go
+++ b/internal/place/round.go
@@ -102,6 +102,7 @@
 			r.delta.RemoveServices = append(r.delta.RemoveServices, service)
 			delete(r.planner.limits, service)
 			delete(r.planner.balances, service)
+			delete(r.planner.quiet, service)
 		}
 	}
 }
--- a/internal/place/service.go
+++ b/internal/place/service.go
@@ -15,7 +15,8 @@
 	members []*member
 	buckets []table.Bucket       // of the placement, not to be changed
 	changed map[int]table.Bucket // by index
-	fixed   map[int]bool         // buckets whose home changes in this round
+	rehomed map[int]bool         // buckets whose home changes in this round
+	stepped map[int]bool         // buckets whose phase changes in this round
 	limit   *limit
 }
 
@@ -27,7 +28,8 @@
 		members: r.services[name],
 		buckets: r.in.Current.Buckets[name],
 		changed: map[int]table.Bucket{},
-		fixed:   map[int]bool{},
+		rehomed: map[int]bool{},
+		stepped: map[int]bool{},
 	}
 	s.limit = r.planner.limitOf(name, s.cfg.moveRate, r.in.Now)
 	if len(s.buckets) == 0 {
@@ -37,12 +39,16 @@
 		s.buckets = make([]table.Bucket, s.cfg.buckets)
 	}
 	s.weigh()
+	if s.isQuiet() {
+		return
+	}
 	s.advanceAll()
 	s.count()
 	apportion(len(s.buckets), s.members)
 	s.replaceUnusable()
 	s.balance()
 	s.emit()
+	s.noteQuiet()
 }
 
 // mayBegin reports whether the buckets of a new service may be placed.
@@ -76,6 +82,10 @@
 	}
 }
 
+// held reports whether the bucket has had its change of the round. Hosts follow
+// one change at a time.
+func (s *servicePlan) held(i int) bool { return s.rehomed[i] || s.stepped[i] }
+
 // owner returns the backend server that takes the bucket's new flows, or will
 // once a move that has begun is through.
 func owner(b *table.Bucket) table.BackendNum {
@@ -108,7 +118,7 @@
 // known as such in the next round.
 func (s *servicePlan) emit() {
 	for _, i := range slices.Sorted(maps.Keys(s.changed)) {
-		if len(s.r.delta.SetBuckets) >= maxUpdates && !s.fixed[i] {
+		if len(s.r.delta.SetBuckets) >= maxUpdates && !s.rehomed[i] {
 			continue
 		}
 		update := table.BucketUpdate{Service: s.name, Index: i, Count: len(s.buckets), Bucket: s.changed[i]}
