--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,8 +19,8 @@
 	"greengagequay/internal/control"
 	"greengagequay/internal/entry"
 	"greengagequay/internal/follow"
+	"greengagequay/internal/gossip"
 	"greengagequay/internal/logs"
-	"greengagequay/internal/member"
 	"greengagequay/internal/metrics"
 	"greengagequay/internal/model"
 	"greengagequay/internal/registry"
@@ -34,7 +34,7 @@
 	Config  config.Config
 	Replica *replica.Replica
 	Metrics *metrics.Registry
-	Members *member.Directory
+	Members *gossip.Node
 
 	bound        *Bound
 	clock        clock.Clock
@@ -48,13 +48,12 @@
 	reports      flowReports
 	server       *rpc.Server
 	client       *rpc.Client
-	commits      *control.FileLog // nil unless a control host
+	commits      *control.Host // nil unless a control host
+	transport    *control.RPCTransport
 	api          *http.Server
 	requests     *http.Server
 	streams      []*entry.Stream
-	flows        *flows       // nil unless an entry host
-	leaving      atomic.Bool  // set once the host has begun to shut down
-	lastAnswer   atomic.Int64 // when the last answered report was sent, Unix milliseconds
+	flows        *flows // nil unless an entry host
 	cancel       context.CancelFunc
 	background   sync.WaitGroup
 }
@@ -69,7 +68,6 @@
 		Config:      b.Config,
 		Replica:     replica.New(),
 		Metrics:     metrics.New(),
-		Members:     member.NewDirectory(),
 		bound:       b,
 		clock:       c,
 		logs:        l,
@@ -77,15 +75,22 @@
 		incarnation: uint64(c.Now().UnixMicro()),
 		registry:    registry.New(),
 	}
+	d.Metrics.GaugeFunc("control.bytes", d.ControlBytes)
+	d.Metrics.GaugeFunc("state.revision", func() int64 { return int64(d.Replica.Revision()) })
 	if err := d.secure(); err != nil {
 		b.Close()
 		return nil, err
 	}
+	if err := d.openMembers(); err != nil {
+		b.Close()
+		return nil, err
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
 	if err := d.start(ctx); err != nil {
 		cancel()
 		b.Close()
+		d.closeLog()
 		return nil, err
 	}
 	d.log.With("host", d.Config.Name).Infof("started in zone %s", d.Config.Zone)
@@ -98,6 +103,7 @@
 			return err
 		}
 	}
+	d.startMembers(ctx)
 	if err := d.server.Register("State", &stateService{d: d}); err != nil {
 		return err
 	}
@@ -105,7 +111,6 @@
 	if !d.Config.Has(config.Control) {
 		d.startFollow(ctx)
 	}
-	d.startMembers(ctx)
 	if d.Config.Has(config.Entry) {
 		if err := d.startFlows(ctx); err != nil {
 			return err
@@ -131,7 +136,7 @@
 func (d *Daemon) startAPI() error {
 	handler := &apiserver.Server{
 		Name: d.Config.Name, Zone: d.Config.Zone, Replica: d.Replica,
-		Members: d.Members, Submit: d, Clock: d.clock,
+		Members: d.Members, Submit: d, Control: d, Clock: d.clock,
 	}
 	server, err := api.NewServer(handler)
 	if err != nil {
@@ -167,7 +172,11 @@
 	}
 	d.waitStreams(ctx)
 	d.leaveFlows(ctx)
+	if d.commits != nil {
+		d.commits.HandOver(ctx)
+	}
 	errs = append(errs, d.api.Shutdown(ctx))
+	d.Members.Leave()
 	d.Kill()
 	return errors.Join(errs...)
 }
@@ -183,18 +192,12 @@
 	d.server.Close()
 	d.client.Close()
 	d.background.Wait()
-	if d.commits != nil {
-		_ = d.commits.Close()
-	}
+	d.closeLog()
 }
 
 // self describes this host to the others.
 func (d *Daemon) self() model.Host {
 	relay, _ := netip.ParseAddrPort(d.Config.Relay)
-	hostState := model.Alive
-	if d.leaving.Load() {
-		hostState = model.Leaving
-	}
 	return model.Host{
 		Name:        d.Config.Name,
 		Zone:        d.Config.Zone,
@@ -204,7 +207,7 @@
 		RPC:         d.Config.RPC,
 		Gossip:      d.Config.Gossip,
 		Relay:       relay,
-		State:       hostState,
+		State:       model.Alive,
 		Revision:    d.Replica.Revision(),
 	}
 }
--- a/internal/daemon/flows.go
+++ b/internal/daemon/flows.go
@@ -10,8 +10,6 @@
 	"greengagequay/internal/records"
 	"greengagequay/internal/route"
 	"greengagequay/internal/rpc"
-	"greengagequay/internal/settings"
-	"greengagequay/internal/state"
 	"greengagequay/internal/table"
 )
 
@@ -23,10 +21,7 @@
 	maxRecords     = 1 << 20
 	flowInterval   = 100 * time.Millisecond // between two steps of the keeper
 	expireInterval = time.Second
-	// hostLease is shorter than the silence after which the controllers stop
-	// to wait for a host, so that the host knows first.
-	hostLease  = 1500 * time.Millisecond
-	leaveLimit = 5 * time.Second // longest hand-over of a host that leaves
+	leaveLimit     = 5 * time.Second // longest hand-over of a host that leaves
 )
 
 // flows is the flow part of an entry host.
@@ -35,6 +30,7 @@
 	router    *route.Router
 	forwarder *entry.Forwarder
 	views     viewCache
+	times     flowTimes
 
 	mu     sync.Mutex // guards keeper
 	keeper *route.Keeper
@@ -42,16 +38,17 @@
 
 func (d *Daemon) startFlows(ctx context.Context) error {
 	f := &flows{d: d, router: route.NewRouter(maxRecords)}
-	f.keeper = route.NewKeeper(f.router, f.idle)
+	f.times.refresh(d)
+	f.keeper = route.NewKeeper(f.router, f.times.idle)
 	f.views.init(d, f.router)
 	f.forwarder = entry.NewForwarder(entry.Options{
-		Fabric:  entry.NewUDPFabric(d.bound.packets),
-		Relay:   entry.NewUDPFabric(d.bound.relay),
-		Router:  f.router,
-		Stalls:  route.NewStalls(f.stallTimeout()),
-		View:    f.views.view,
-		Now:     d.clock.Now,
-		Metrics: d.Metrics,
+		Fabric:       entry.NewUDPFabric(d.bound.packets),
+		Relay:        entry.NewUDPFabric(d.bound.relay),
+		Router:       f.router,
+		StallTimeout: f.times.stall,
+		View:         f.views.view,
+		Now:          d.clock.Now,
+		Metrics:      d.Metrics,
 	})
 	d.flows = f
 	if err := d.server.Register("Flows", &flowService{f: f}); err != nil {
@@ -65,18 +62,6 @@
 	return nil
 }
 
-func (f *flows) idle(service string) (t time.Duration) {
-	f.d.Replica.Read(func(s *state.State) {
-		t = s.Tree.Duration(settings.Path(service), settings.FlowIdleTimeout)
-	})
-	return t
-}
-
-func (f *flows) stallTimeout() (t time.Duration) {
-	f.d.Replica.Read(func(s *state.State) { t = s.Tree.Duration("/", settings.FlowStallTimeout) })
-	return t
-}
-
 // keep copies records to backups and forgets idle flows until ctx ends.
 func (f *flows) keep(ctx context.Context) {
 	size := f.d.Metrics.Gauge("flows.records")
@@ -93,6 +78,7 @@
 		}
 		if now.Sub(expired) >= expireInterval {
 			expired = now
+			f.times.refresh(f.d)
 			f.expire()
 		}
 		size.Update(int64(f.router.Records.Len()))
@@ -104,15 +90,11 @@
 
 func (f *flows) expire() {
 	view := f.views.view()
-	idle := map[string]records.Seconds{}
-	for name := range view.Table.ByName {
-		idle[name] = records.Seconds(f.idle(name) / time.Second)
-	}
 	f.router.Records.Expire(f.forwarder.Seconds(), func(n table.BackendNum, flags records.Flag) records.Seconds {
 		if flags&records.Closing != 0 {
 			return closingIdle
 		}
-		return idle[view.Table.Backends[n].Service]
+		return records.Seconds(f.times.idle(view.Table.Backends[n].Service) / time.Second)
 	})
 }
 
@@ -144,6 +126,9 @@
 
 // Install takes over records as a backup.
 func (s *flowService) Install(b records.Batch, _ *struct{}) error {
+	if b.Override {
+		s.f.interrupted(route.BucketID{Service: b.Service, Index: b.Bucket})
+	}
 	return rpc.EncodeError(s.f.router.Install(s.f.forwarder.Seconds(), b))
 }
 
@@ -153,6 +138,12 @@
 	return nil
 }
 
+func (f *flows) interrupted(id route.BucketID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.keeper.Interrupted(f.d.clock.Now(), id)
+}
+
 func (f *flows) report() FlowReport {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -168,7 +159,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, leaveLimit)
 	defer cancel()
-	d.leaving.Store(true)
+	d.Members.Leaving()
 	for ctx.Err() == nil && !d.handedOver() {
 		d.pause(ctx, flowInterval)
 	}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -1,8 +1,9 @@
+// Package demo runs a small system on loopback, disturbs it while callers use
+// it, and reports what the callers saw.
 package demo
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -11,6 +12,7 @@
 	"time"
 
 	"greengagequay/internal/api"
+	"greengagequay/internal/emulator"
 	"greengagequay/internal/fault"
 	"greengagequay/internal/model"
 	"greengagequay/internal/request"
@@ -36,7 +38,11 @@
 	RequestsFailed       int     `json:"requestsFailed"`
 	Imbalance            float64 `json:"imbalanceMaxOverMean"`
 	InForceSeconds       float64 `json:"secondsUntilInForce"`
-	ControlBytesPerHostS float64 `json:"controlBytesPerHostPerSecond"`
+	ControlBytesPerHostS float64 `json:"controlBytesPerHostPerSecond"` // at rest
+	FlowsToDraining      int     `json:"newFlowsToDraining"`
+	StreamsOpened        int     `json:"connectionsOpened"`
+	StreamsBroken        int     `json:"connectionsBroken"`
+	KeysRunTwice         int     `json:"keysRunTwice"`
 }
 
 // Err returns an error that names the first invariant that did not hold.
@@ -48,39 +54,53 @@
 		return fault.New(fault.Internal, "report a defect with the seed", "%d flows broke in planned changes", r.FlowsBroken)
 	case r.PacketsMisdelivered > 0:
 		return fault.New(fault.Internal, "report a defect with the seed", "%d packets reached another service", r.PacketsMisdelivered)
+	case r.FlowsToDraining > 0:
+		return fault.New(fault.Internal, "report a defect with the seed", "%d new flows reached a draining backend server", r.FlowsToDraining)
+	case r.StreamsBroken > 0:
+		return fault.New(fault.Internal, "report a defect with the seed", "%d plain connections broke", r.StreamsBroken)
+	case r.KeysRunTwice > 0:
+		return fault.New(fault.Internal, "report a defect with the seed", "%d requests that may run once ran again", r.KeysRunTwice)
 	case r.RequestsFailed > 0:
 		return fault.New(fault.Internal, "report a defect with the seed", "%d requests failed", r.RequestsFailed)
 	}
 	return nil
 }
 
+var hosts = []emulator.HostSpec{
+	{Name: "rvk-a-1", Zone: "rvk-a", Control: true},
+	{Name: "rvk-a-2", Zone: "rvk-a"},
+	{Name: "rvk-b-1", Zone: "rvk-b", Control: true},
+	{Name: "rvk-b-2", Zone: "rvk-b", Control: true},
+}
+
+var services = []emulator.ServiceSpec{
+	{Name: "pantanir", Address: netip.MustParseAddrPort("203.0.113.10:443"), Backends: 4, Slots: 3},
+	{Name: "myndir", Address: netip.MustParseAddrPort("203.0.113.20:443"), Backends: 2, Slots: 3},
+}
+
 // run is one demonstration in progress.
 type run struct {
 	Options
-	fleet   *fleet
-	callers *callers
+	fleet   *emulator.Fleet
+	callers *emulator.Callers
+	streams []*stream
 	report  Report
-	started time.Time
 }
 
 // Run runs the demonstration.
 func Run(ctx context.Context, o Options) (Report, error) {
-	c, err := newCallers(o.Seed)
+	c, err := emulator.NewCallers(o.Seed)
 	if err != nil {
 		return Report{}, err
 	}
-	defer c.conn.Close()
-	f, err := startFleet(ctx, c.address())
+	defer c.Close()
+	f, err := emulator.Start(hosts, services, c.Address())
 	if err != nil {
 		return Report{}, err
 	}
-	defer f.close(context.WithoutCancel(ctx))
-	r := &run{Options: o, fleet: f, callers: c, started: time.Now()}
-	c.entry = func(i int) netip.AddrPort {
-		addr, _ := netip.ParseAddrPort(f.host(i).Config.Packets)
-		return addr
-	}
-	go c.receive()
+	defer f.Close()
+	c.Enter(f.Entries)
+	r := &run{Options: o, fleet: f, callers: c}
 	if err := r.steps(ctx); err != nil {
 		return r.report, err
 	}
@@ -95,12 +115,17 @@
 	}{
 		{"create services", r.createServices},
 		{"open flows", r.openFlows},
+		{"open plain connections", r.openStreams},
 		{"send requests", r.sendRequests},
 		{"drain a backend server", r.drain},
-		{"restart an entry host", func(ctx context.Context) error { return r.fleet.restart(ctx, 3) }},
+		{"open more flows", r.openMoreFlows},
+		{"restart an entry host", func(ctx context.Context) error { return r.fleet.Restart(ctx, 3) }},
 		{"use all flows", r.useFlows},
+		{"use all plain connections", r.useStreams},
+		{"repeat requests that may run once", r.repeatKeys},
 		{"send requests", r.sendRequests},
 		{"change a setting", r.changeSetting},
+		{"rest", r.rest},
 	}
 	for i, step := range steps {
 		if r.Progress != nil {
@@ -114,81 +139,32 @@
 }
 
 func (r *run) createServices(ctx context.Context) error {
-	var ops []api.Op
-	for _, s := range serviceSpecs {
-		ops = append(ops,
-			setOp(settings.Path(s.name), settings.ServiceZones, `["rvk-a","rvk-b"]`),
-			setOp(settings.Path(s.name), settings.ServiceAddresses, fmt.Sprintf(`["%s/tcp"]`, s.address)))
-	}
-	if _, err := r.change(ctx, "demo-services", ops); err != nil {
+	if err := r.fleet.CreateServices(ctx, 1); err != nil {
 		return err
 	}
-	return r.waitFor(ctx, r.placed)
-}
-
-func setOp(path, key, value string) api.Op {
-	return api.Op{Action: api.OpActionSet, Path: path, Key: key, Value: api.NewOptString(value)}
-}
-
-func (r *run) change(ctx context.Context, id string, ops []api.Op) (*api.ChangeResult, error) {
-	client, err := api.NewClient("http://" + r.fleet.host(1).Config.API)
-	if err != nil {
-		return nil, err
-	}
-	return client.SubmitChange(ctx, &api.ChangeRequest{ID: id, Ops: ops, Author: api.NewOptString("demo")})
-}
-
-// placed reports whether every host has all backend servers in its table.
-func (r *run) placed() bool {
-	for i := range hostSpecs {
-		t := r.fleet.host(i).Replica.Table()
-		if len(t.ByName) < len(serviceSpecs) || len(t.Backends) < len(r.fleet.backends) {
-			return false
-		}
-		for _, svc := range t.ByName {
-			for _, b := range svc.Buckets {
-				if b.Opening() == 0 {
-					return false
-				}
-			}
-		}
-	}
-	return true
-}
-
-// waitFor waits until the condition holds, and keeps the flows going.
-func (r *run) waitFor(ctx context.Context, holds func() bool) error {
-	for !holds() {
-		select {
-		case <-ctx.Done():
-			return fmt.Errorf("wait: %w", ctx.Err())
-		case <-time.After(20 * time.Millisecond):
-		}
-		r.callers.resend(time.Now())
-	}
-	return nil
+	return r.fleet.WaitPlaced(ctx)
 }
 
 func (r *run) openFlows(ctx context.Context) error {
-	for service := range serviceSpecs {
-		r.callers.open(service, r.Flows)
+	for _, s := range services {
+		r.callers.Open(s.Address, r.Flows)
 	}
-	return r.waitFor(ctx, r.callers.quiet)
+	return r.callers.Settle(ctx)
 }
 
 func (r *run) useFlows(ctx context.Context) error {
-	r.callers.speak()
-	return r.waitFor(ctx, r.callers.quiet)
+	r.callers.Speak()
+	return r.callers.Settle(ctx)
 }
 
 func (r *run) drain(ctx context.Context) error {
-	drained := r.fleet.backends[0]
+	drained := r.fleet.Backends[0]
 	if err := drained.SetState(ctx, model.Draining); err != nil {
 		return err
 	}
-	return r.waitFor(ctx, func() bool {
-		for i := range hostSpecs {
-			for _, b := range r.fleet.host(i).Replica.Table().Backends {
+	return r.fleet.WaitFor(ctx, func() bool {
+		for i := range hosts {
+			for _, b := range r.fleet.Host(i).Replica.Table().Backends {
 				if b.ID == drained.ID && b.State != model.Draining {
 					return false
 				}
@@ -200,11 +176,11 @@
 
 func (r *run) changeSetting(ctx context.Context) error {
 	start := time.Now()
-	res, err := r.change(ctx, "demo-timeout", []api.Op{setOp("/", settings.RequestTimeout, `"20s"`)})
+	res, err := r.fleet.Change(ctx, 1, "demo-timeout", []api.Op{emulator.SetOp("/", settings.RequestTimeout, `"20s"`)})
 	if err != nil {
 		return err
 	}
-	if err := r.fleet.waitRevision(ctx, uint64(res.Revision), r.fleet.allHosts()...); err != nil {
+	if err := r.fleet.WaitRevision(ctx, uint64(res.Revision), r.fleet.Running()...); err != nil {
 		return err
 	}
 	r.report.InForceSeconds = time.Since(start).Seconds()
@@ -213,23 +189,34 @@
 
 func (r *run) sendRequests(ctx context.Context) error {
 	for i := range r.Requests {
-		svc := serviceSpecs[i%len(serviceSpecs)]
-		host := r.fleet.host(i % len(hostSpecs))
-		if err := r.sendRequest(ctx, svc.name, host.Config.Requests, i); err != nil {
+		svc := services[i%len(services)]
+		host := r.fleet.Host(i % len(hosts))
+		if err := r.sendRequest(ctx, sent{service: svc.Name, addr: host.Config.Requests, size: i}); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (r *run) sendRequest(ctx context.Context, service, addr string, i int) error {
-	body := strings.Repeat("o", i)
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/order", strings.NewReader(body))
+// sent describes a request that is sent.
+type sent struct {
+	service string
+	addr    string // of the entry host
+	size    int    // of the body, in bytes
+	key     string // empty for a request that may be repeated
+}
+
+func (r *run) sendRequest(ctx context.Context, s sent) error {
+	body := strings.NewReader(strings.Repeat("o", s.size))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.addr+"/order", body)
 	if err != nil {
 		return err
 	}
-	req.Header.Set(request.HeaderService, service)
+	req.Header.Set(request.HeaderService, s.service)
 	req.Header.Set(request.HeaderCustomer, "bakery")
+	if s.key != "" {
+		req.Header.Set(request.HeaderKey, s.key)
+	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		r.report.RequestsFailed++
@@ -237,9 +224,9 @@
 	}
 	defer resp.Body.Close()
 	answer, err := io.ReadAll(resp.Body)
-	want := fmt.Sprintf("%s /order %d\n", service, i)
+	want := fmt.Sprintf("%s /order %d\n", s.service, s.size)
 	switch outcome := resp.Header.Get(request.HeaderOutcome); {
-	case err != nil && !errors.Is(err, context.Canceled), outcome == request.Answered && string(answer) != want:
+	case err != nil, outcome == request.Answered && string(answer) != want:
 		r.report.RequestsFailed++
 	case outcome == request.Answered:
 		r.report.Answered++
@@ -252,21 +239,36 @@
 }
 
 func (r *run) measure() {
-	r.report.FlowsOpened, r.report.FlowsBroken = r.callers.counts()
+	r.report.FlowsOpened, r.report.FlowsBroken = r.callers.Counts()
+	for _, b := range r.fleet.Backends {
+		r.report.PacketsMisdelivered += b.Packets.Counts().Misdelivered
+	}
+	for _, st := range r.streams {
+		r.report.StreamsOpened++
+		if st.broken {
+			r.report.StreamsBroken++
+		}
+		_ = st.conn.Close()
+	}
+	r.report.Imbalance = r.imbalance()
+	r.report.KeysRunTwice = r.keysRunTwice()
+}
+
+// imbalance returns the most open flows of a backend server that takes new
+// ones, divided by the mean, for the first service.
+func (r *run) imbalance() float64 {
 	total, most, n := 0, 0, 0
-	for _, b := range r.fleet.backends {
-		c := b.Packets.Counts()
-		r.report.PacketsMisdelivered += c.Misdelivered
-		if b.Service != serviceSpecs[0].name {
+	for _, b := range r.fleet.Backends[1:] { // the first one drains
+		if b.Service != services[0].Name {
 			continue
 		}
-		total += c.Open
-		most = max(most, c.Open)
+		open := b.Packets.Counts().Open
+		total += open
+		most = max(most, open)
 		n++
 	}
-	if total > 0 {
-		r.report.Imbalance = float64(most) * float64(n) / float64(total)
+	if total == 0 {
+		return 0
 	}
-	seconds := time.Since(r.started).Seconds()
-	r.report.ControlBytesPerHostS = float64(r.fleet.controlBytes()) / seconds / float64(len(hostSpecs))
+	return float64(most) * float64(n) / float64(total)
 }
--- a/internal/entry/packets.go
+++ b/internal/entry/packets.go
@@ -15,32 +15,34 @@
 
 // Forwarder routes packets of the fabric and of other entry hosts.
 type Forwarder struct {
-	fabric Fabric
-	relay  Fabric // between entry hosts
-	router *route.Router
-	stalls *route.Stalls
-	view   func() *route.View
-	now    func() time.Time
-	epoch  time.Time
-	counts packetCounts
-	open   openFlows
+	fabric       Fabric
+	relay        Fabric // between entry hosts
+	router       *route.Router
+	stalls       *route.Stalls
+	stallTimeout func(string) time.Duration
+	view         func() *route.View
+	now          func() time.Time
+	epoch        time.Time
+	counts       packetCounts
+	open         openFlows
 }
 
 // Options of a forwarder.
 type Options struct {
-	Fabric  Fabric // between fabric and backend servers
-	Relay   Fabric // between entry hosts
-	Router  *route.Router
-	Stalls  *route.Stalls
-	View    func() *route.View // view in force
-	Now     func() time.Time
-	Metrics *metrics.Registry
+	Fabric Fabric // between fabric and backend servers
+	Relay  Fabric // between entry hosts
+	Router *route.Router
+	// StallTimeout returns how long a flow of a service may repeat itself.
+	StallTimeout func(service string) time.Duration
+	View         func() *route.View // view in force
+	Now          func() time.Time
+	Metrics      *metrics.Registry
 }
 
 // NewForwarder returns a forwarder between the fabric and backend servers.
 func NewForwarder(o Options) *Forwarder {
 	return &Forwarder{
-		fabric: o.Fabric, relay: o.Relay, router: o.Router, stalls: o.Stalls,
+		fabric: o.Fabric, relay: o.Relay, router: o.Router, stalls: route.NewStalls(), stallTimeout: o.StallTimeout,
 		view: o.View, now: o.Now, epoch: o.Now(), counts: newPacketCounts(o.Metrics),
 	}
 }
@@ -82,6 +84,7 @@
 	f      *Forwarder
 	parser *flow.Parser
 	packet flow.Packet
+	header route.Header
 	out    []byte
 }
 
@@ -92,23 +95,22 @@
 		return
 	}
 	view := f.view()
-	verdict := f.router.Route(f.Seconds(), view, &w.packet)
-	if f.stalls.Seen(f.now(), verdict.Flow, &w.packet) {
-		verdict = route.Verdict{Action: route.Reset, Reason: route.Stalled, Flow: verdict.Flow}
-	}
-	verdict.Header.Source = from
+	w.header = route.Header{Source: from}
+	verdict := f.router.Route(f.Seconds(), view, &w.packet, &w.header)
 	w.act(view, verdict, data, from)
 }
 
 func (w *worker) fromHost(data []byte) {
 	f := w.f
-	header, packet, err := route.ParseHeader(data)
+	var packet []byte
+	var err error
+	w.header, packet, err = route.ParseHeader(data)
 	if err != nil {
 		f.counts.malformed.Inc(1)
 		return
 	}
-	if header.Stage == route.Confirm {
-		f.router.Confirmed(f.Seconds(), header)
+	if w.header.Stage == route.Confirm {
+		f.router.Confirmed(f.Seconds(), w.header)
 		return
 	}
 	if err := w.parser.Parse(packet, &w.packet); err != nil {
@@ -116,7 +118,8 @@
 		return
 	}
 	view := f.view()
-	w.act(view, f.router.Relayed(f.Seconds(), view, &w.packet, header), packet, header.Source)
+	source := w.header.Source
+	w.act(view, f.router.Relayed(f.Seconds(), view, &w.packet, &w.header), packet, source)
 }
 
 // act does what the verdict says.
@@ -140,6 +143,10 @@
 		w.reset(route.Undeliverable(v.Flow), source)
 		return
 	}
+	if w.f.stalls.Seen(w.f.now(), w.f.stallTimeout(backend.Service), v.Flow, &w.packet) {
+		w.reset(route.Verdict{Action: route.Reset, Reason: route.Stalled, Flow: v.Flow}, source)
+		return
+	}
 	if err := w.f.fabric.Send(backend.Packet, data); err != nil {
 		w.f.counts.failed.Inc(1)
 		return
@@ -147,7 +154,7 @@
 	w.f.counts.forwarded.Inc(1)
 	w.f.open.note(v.Backend, &w.packet)
 	if v.Confirm {
-		v.To = v.Header.Home
+		v.To = w.header.Home
 		w.send(view, v, nil)
 	}
 }
@@ -159,7 +166,7 @@
 		w.f.counts.dropped(route.NoHome)
 		return
 	}
-	w.out = append(v.Header.Append(w.out[:0]), packet...)
+	w.out = append(w.header.Append(w.out[:0]), packet...)
 	if err := w.f.relay.Send(host.Relay, w.out); err != nil {
 		w.f.counts.failed.Inc(1)
 	}
--- a/internal/raft/leader.go
+++ b/internal/raft/leader.go
@@ -21,13 +21,22 @@
 		return
 	}
 	if n.transferee != 0 && n.now >= n.transferUntil {
-		n.transferee = 0
+		n.reclaim()
+		return
 	}
 	if n.now-n.heartbeatAt >= n.cfg.HeartbeatInterval {
 		n.beat()
 	}
 }
 
+// reclaim ends a hand-over that came to nothing. Only a new term gives back
+// the lease, since the request to campaign may still arrive in this one. The
+// voters need not wait for the lease to run out: it is this member's own.
+func (n *Node) reclaim() {
+	n.becomeFollower(n.term, 0)
+	n.campaign(false, true)
+}
+
 // beat sends a round of heartbeats.
 func (n *Node) beat() {
 	n.heartbeatAt = n.now
@@ -94,12 +103,19 @@
 
 // holdsLease reports whether no other leader can have been elected by now: a
 // quorum has promised not to vote until the election timeout has passed.
-func (n *Node) holdsLease() bool {
+func (n *Node) holdsLease() bool { return n.leaseLeft() > 0 }
+
+// leaseLeft returns for how long the lease holds if no quorum answers again.
+func (n *Node) leaseLeft() time.Duration {
 	if n.role != Leader || n.leaseGivenUp {
-		return false
+		return 0
 	}
 	contact, ok := n.quorumAcked()
-	return ok && n.now-contact < n.cfg.ElectionTimeout-n.cfg.ElectionTimeout/leaseMargin
+	if !ok {
+		return 0
+	}
+	lease := n.cfg.ElectionTimeout - n.cfg.ElectionTimeout/leaseMargin
+	return max(0, contact+lease-n.now)
 }
 
 // ProposeMembership appends a change of one member. There is at most one
--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -48,7 +48,7 @@
 	lost, err := cl.nodes[old].Propose([]byte("lost"))
 	c.Assert(err, qt.IsNil)
 	c.Assert(cl.nodes[old].Read(cl.now, 1), qt.IsNil) // holds its lease still
-	cl.run("end of the lease", func() bool { return !cl.nodes[old].Status(cl.now).Lease })
+	cl.run("end of the lease", func() bool { return cl.nodes[old].Status(cl.now).LeaseLeft == 0 })
 	c.Assert(cl.nodes[old].role, qt.Equals, Leader) // silent: it still believes that it leads
 	c.Assert(cl.nodes[old].Read(cl.now, 2), qt.IsNil)
 	cl.drain(old)
@@ -154,13 +154,30 @@
 	old := cl.leader()
 	cl.propose("x")
 	c.Assert(cl.nodes[old].Transfer(), qt.IsTrue)
-	c.Assert(cl.nodes[old].Status(cl.now).Lease, qt.IsFalse)
+	c.Assert(cl.nodes[old].Status(cl.now).LeaseLeft, qt.Equals, time.Duration(0))
 	cl.drain(old)
 	start := cl.now
 	cl.run("another leader", func() bool { return cl.nodes[old].role == Follower && cl.leader() != old })
 	c.Assert(cl.now-start < testElection, qt.IsTrue) // without an election timeout
 }
 
+// A hand-over that comes to nothing must not leave a leader without a lease.
+func TestFailedTransferEndsInALease(t *testing.T) {
+	c := qt.New(t)
+	cl := newCluster(t, 10, 3)
+	old := cl.leader()
+	cl.propose("x")
+	c.Assert(cl.nodes[old].Transfer(), qt.IsTrue)
+	r, _ := cl.nodes[old].Ready() // its messages are lost
+	cl.disks[old].save(r)
+	cl.nodes[old].Advance(r)
+	start := cl.now
+	cl.wait(testElection)
+	cl.leader()
+	c.Assert(cl.now-start < 2*testElection, qt.IsTrue)
+	cl.propose("y")
+}
+
 // A snapshot that matches the log must not drop the entries after it, which
 // may have counted for a quorum.
 func TestSnapshotKeepsAcknowledgedEntries(t *testing.T) {
--- a/internal/route/home.go
+++ b/internal/route/home.go
@@ -6,8 +6,9 @@
 	"greengagequay/internal/table"
 )
 
-// Relayed decides on a packet that another entry host relayed.
-func (r *Router) Relayed(now records.Seconds, v *View, p *flow.Packet, h Header) Verdict {
+// Relayed decides on a packet that another entry host relayed with the header
+// h. For a packet to relay once more, or a record to confirm, it changes h.
+func (r *Router) Relayed(now records.Seconds, v *View, p *flow.Packet, h *Header) Verdict {
 	svc := v.service(p)
 	if svc == nil {
 		return Verdict{Action: Drop, Reason: UnknownService}
@@ -26,17 +27,12 @@
 
 // arrived decides on a packet that was relayed towards the home.
 func (r *Router) arrived(now records.Seconds, v *View, d *decision) Verdict {
-	b := d.bucket
-	switch {
-	case b.Moving() && b.Home == v.self:
-		return r.home(now, v, d)
-	case b.Moving():
-		return v.toHome(d, b.Home)
-	case v.Table.Revision >= d.header.Revision || b.Unknown() == d.header.Backend:
-		return r.stable(now, v, d)
-	}
-	// The sender knows of a move that this host does not know of yet.
-	return d.verdict(Drop, StaleTable)
+	older := v.Table.Revision < d.header.Revision
+	if !d.bucket.Moving() && older && d.bucket.Unknown() != d.header.Backend {
+		// The sender knows of a move that this host does not know of yet.
+		return d.verdict(Drop, StaleTable)
+	}
+	return r.byBucket(now, v, d)
 }
 
 // toHome relays a packet to the home of its bucket.
@@ -49,10 +45,11 @@
 	if d.header.Hops >= maxHops {
 		return d.verdict(Drop, TooManyHops)
 	}
-	return Verdict{Action: Relay, To: home, Flow: d.flow, Header: Header{
+	*d.header = Header{
 		Stage: ToHome, Hops: d.header.Hops + 1, Backend: d.bucket.Unknown(),
 		Revision: max(v.Table.Revision, d.header.Revision), Flow: d.flow, Source: d.header.Source,
-	}}
+	}
+	return Verdict{Action: Relay, To: home, Flow: d.flow}
 }
 
 // home decides on a packet as the home of its bucket.
@@ -98,9 +95,9 @@
 	if !v.delivers(n, d.svc) {
 		return d.verdict(Reset, LostBackend)
 	}
-	// The home records an opening packet at once, so that the loss of the
-	// backup before it confirms loses no record.
-	if d.packet.Opens() && !r.Records.Put(records.Record{Flow: d.flow, Backend: n}, 0, now) {
+	// The home records the flow before the backup confirms, so that neither
+	// the loss of the backup nor of the confirmation loses the record.
+	if !r.Records.Put(records.Record{Flow: d.flow, Backend: n}, 0, now) {
 		// A full store places new flows where unknown flows belong, which
 		// needs no record.
 		return v.byTable(d)
@@ -118,10 +115,11 @@
 		}
 		return d.forward(n)
 	}
-	return Verdict{Action: Relay, To: first, Flow: d.flow, Header: Header{
+	*d.header = Header{
 		Stage: ToBackup, Known: known, Home: v.self, Next: second, Backend: n,
 		Revision: v.Table.Revision, Flow: d.flow, Source: d.header.Source,
-	}}
+	}
+	return Verdict{Action: Relay, To: first, Flow: d.flow}
 }
 
 // backups returns the backups of a bucket that can be used, 0 where none.
@@ -144,7 +142,7 @@
 	h := d.header
 	if v.Table.Revision > h.Revision && d.bucket.Home != h.Home {
 		// The sender is no longer the home. Only the present home may place.
-		return r.fromFormerHome(now, v, d)
+		return r.byBucket(now, v, d)
 	}
 	n, _, ok := r.Records.Lookup(d.flow, now)
 	if !ok || h.Known || !v.delivers(n, d.svc) {
@@ -160,23 +158,10 @@
 	if _, known := v.Table.Hosts[h.Next]; known && h.Next != v.self {
 		next := h.Next
 		h.Next, h.Known = 0, h.Known || ok
-		return Verdict{Action: Relay, To: next, Flow: d.flow, Header: h}
+		return Verdict{Action: Relay, To: next, Flow: d.flow}
 	}
-	return Verdict{Action: Forward, Backend: n, Flow: d.flow, Confirm: true, Header: confirmation(h)}
-}
-
-func confirmation(h Header) Header {
-	return Header{Stage: Confirm, Home: h.Home, Backend: h.Backend, Revision: h.Revision, Flow: h.Flow}
-}
-
-func (r *Router) fromFormerHome(now records.Seconds, v *View, d *decision) Verdict {
-	switch {
-	case !d.bucket.Moving():
-		return r.stable(now, v, d)
-	case d.bucket.Home == v.self:
-		return r.home(now, v, d)
-	}
-	return v.toHome(d, d.bucket.Home)
+	*h = Header{Stage: Confirm, Home: h.Home, Backend: n, Revision: h.Revision, Flow: d.flow}
+	return Verdict{Action: Forward, Backend: n, Flow: d.flow, Confirm: true}
 }
 
 // Confirmed notes that the backups hold a record.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -66,11 +66,10 @@
 type Verdict struct {
 	Action  Action
 	Reason  Reason
-	Confirm bool             // send Header.Home a confirmation of the record
+	Confirm bool             // the header is a confirmation to send to Header.Home
 	Backend table.BackendNum // of Forward
 	To      table.HostNum    // of Relay
 	Flow    uint64           // fingerprint of the flow
-	Header  Header           // of Relay and Confirm
 }
 
 // Router decides with the records of one entry host. It is safe for
@@ -85,8 +84,9 @@
 	return &Router{Records: records.New(limit)}
 }
 
-// Route decides on a packet that came from the fabric.
-func (r *Router) Route(now records.Seconds, v *View, p *flow.Packet) Verdict {
+// Route decides on a packet that came from the fabric. For a packet to relay it
+// fills in h, in which the caller has set the source alone.
+func (r *Router) Route(now records.Seconds, v *View, p *flow.Packet, h *Header) Verdict {
 	svc := v.service(p)
 	if svc == nil {
 		return Verdict{Action: Drop, Reason: UnknownService}
@@ -100,7 +100,7 @@
 		}
 		return Verdict{Action: Reset, Reason: NoBackend, Flow: hash}
 	}
-	return r.special(now, v, &decision{svc: svc, bucket: b, index: index, flow: hash, packet: p})
+	return r.special(now, v, &decision{svc: svc, bucket: b, index: index, flow: hash, packet: p, header: h})
 }
 
 // decision is what the decision on one packet depends on besides the view.
@@ -110,7 +110,7 @@
 	index  uint64
 	flow   uint64
 	packet *flow.Packet
-	header Header // of a relayed packet
+	header *Header // in: of a relayed packet; out: of the packet to relay
 }
 
 // special decides on a packet from the fabric whose bucket moves, or while the
@@ -119,23 +119,24 @@
 	if v.isCut() {
 		return r.cutOff(now, v, d)
 	}
-	if !d.bucket.Moving() {
-		return r.stable(now, v, d)
-	}
-	if d.bucket.Home == v.self {
-		return r.home(now, v, d)
-	}
-	return v.toHome(d, d.bucket.Home)
+	return r.byBucket(now, v, d)
 }
 
-// stable decides on a packet of a stable bucket. A record from the time when
-// this host was cut off goes before the table.
-func (r *Router) stable(now records.Seconds, v *View, d *decision) Verdict {
-	if r.kept.has(d.svc.Name, int(d.index)) {
+// byBucket decides by the bucket's phase. A record from the time when this
+// host was cut off goes before the table, until the home has it.
+func (r *Router) byBucket(now records.Seconds, v *View, d *decision) Verdict {
+	home := d.bucket.Moving() && d.bucket.Home == v.self
+	if !home && r.kept.has(d.svc.Name, int(d.index)) {
 		if n, _, ok := r.Records.Lookup(d.flow, now); ok && v.delivers(n, d.svc) {
 			return d.forward(n)
 		}
 	}
+	switch {
+	case home:
+		return r.home(now, v, d)
+	case d.bucket.Moving():
+		return v.toHome(d, d.bucket.Home)
+	}
 	return v.byTable(d)
 }
 
--- /dev/null
+++ b/internal/route/simcontrol_test.go
@@ -0,0 +1,143 @@
+package route_test
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"greengagequay/internal/model"
+	"greengagequay/internal/place"
+	"greengagequay/internal/settings"
+	"greengagequay/internal/state"
+	"greengagequay/internal/table"
+)
+
+// simControl is the control host: the product's placement and state, fed with
+// what it hears of hosts and backend servers.
+type simControl struct {
+	s       *sim
+	planner *place.Planner
+	state   *state.State
+}
+
+func newSimControl(s *sim, zones int) *simControl {
+	c := &simControl{s: s, planner: place.NewPlanner(), state: state.New()}
+	var names []string
+	for i := range zones {
+		names = append(names, fmt.Sprintf("%q", fmt.Sprint("zone-", i)))
+	}
+	var ops []settings.Op
+	for _, svc := range simServices {
+		path := settings.Path(svc.name)
+		for key, value := range map[string]string{
+			settings.ServiceZones:     "[" + strings.Join(names, ",") + "]",
+			settings.ServiceAddresses: fmt.Sprintf("[%q]", svc.address.String()+"/tcp"),
+			settings.FlowIdleTimeout:  fmt.Sprintf("%q", simIdle.String()),
+			settings.FlowBuckets:      fmt.Sprint(simBuckets),
+		} {
+			ops = append(ops, settings.Op{Action: settings.Set, Path: path, Key: key, Value: value})
+		}
+	}
+	if r := c.state.Apply(1, state.Command{Change: &state.Change{ID: "services", Ops: ops}}); r.Err != nil {
+		panic(r.Err)
+	}
+	return c
+}
+
+// unreachable reports whether the controller has given up a zone for now.
+func (c *simControl) unreachable(zone string) bool {
+	return c.s.cut == zone && c.s.now > c.s.cutAt+lossAfter
+}
+
+// lost reports whether the controller has given up a host.
+func (c *simControl) lost(h *simHost) bool {
+	return !h.up && c.s.now > h.lostAt+lossAfter || c.unreachable(h.Zone)
+}
+
+// tick computes a delta from what the controller hears, and applies it.
+func (c *simControl) tick() {
+	if delta := c.planner.Next(c.input()); !delta.Empty() {
+		if r := c.state.Apply(c.state.Revision+1, state.Command{Placement: &delta}); r.Err != nil {
+			panic(r.Err)
+		}
+	}
+	c.number()
+	c.publish()
+	c.s.after(250*time.Millisecond, c.tick)
+}
+
+func (c *simControl) input() place.Input {
+	in := place.Input{
+		Now: c.s.time(), Tree: c.state.Tree, TreeRevision: c.state.SettingsRevision,
+		Current: c.state.Placement.View(),
+	}
+	for _, h := range c.s.hosts {
+		if h.up && h.table != nil && c.s.cut != h.Zone {
+			h.seen = h.table.Revision
+			in.Statuses = append(in.Statuses, h.keeper.Status(c.s.time())...)
+		}
+		in.Hosts = append(in.Hosts, c.host(h))
+	}
+	for _, b := range c.s.backends {
+		if b.dead && c.s.now > b.drained+lossAfter || c.unreachable(b.Zone) {
+			continue // its announcement has lapsed
+		}
+		in.Backends = append(in.Backends, model.Backend{
+			ID: b.ID, Service: b.Service, Zone: b.Zone, State: b.State, Incarnation: 1, Weight: 100,
+		})
+	}
+	return in
+}
+
+func (c *simControl) host(h *simHost) place.Host {
+	m := model.Host{Name: h.Name, Zone: h.Zone, Entry: true, Incarnation: h.Incarnation, State: model.Alive, Revision: h.seen}
+	leaving, lost := h.leaving && h.up, c.lost(h)
+	switch {
+	case lost:
+		m.State = model.Dead
+	case leaving:
+		m.State = model.Leaving
+	}
+	return place.Host{Host: m, LeaseOut: lost, Leaving: leaving}
+}
+
+// number gives hosts and backend servers the numbers of the placement.
+func (c *simControl) number() {
+	for n, h := range c.state.Placement.Hosts {
+		for _, o := range c.s.hosts {
+			if o.Name == h.Name {
+				o.Num = n
+			}
+		}
+	}
+	c.s.byNum = map[table.BackendNum]*simBackend{}
+	for n, b := range c.state.Placement.Backends {
+		for _, o := range c.s.backends {
+			if o.ID == b.ID {
+				c.s.byNum[n] = o
+			}
+		}
+	}
+}
+
+// publish sends the table to all hosts, early to some and late to others. A
+// host that starts asks for it at once.
+func (c *simControl) publish() {
+	s := c.s
+	t := c.state.Table()
+	for _, h := range s.hosts {
+		if !h.up || s.cut == h.Zone || h.table != nil && h.table.Revision == t.Revision {
+			continue
+		}
+		late := time.Duration(s.rand.Int64N(int64(s.late)))
+		if h.table == nil {
+			late = 0
+		}
+		incarnation := h.Incarnation
+		s.after(hop+late, func() {
+			if h.up && h.Incarnation == incarnation && s.cut != h.Zone {
+				s.adopt(h, t)
+			}
+		})
+	}
+}
