--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -69,6 +69,7 @@
 	first    map[string]time.Time           // first usable backend server of a service without buckets
 	limits   map[string]*limit
 	balances map[string]*balance
+	quiet    map[string]quiet
 	config   configCache
 }
 
@@ -80,6 +81,7 @@
 		first:    map[string]time.Time{},
 		limits:   map[string]*limit{},
 		balances: map[string]*balance{},
+		quiet:    map[string]quiet{},
 	}
 }
 
