Follow the rename of held buckets in the handling of cut zones

Change: the code marks rehomed buckets; such reports end the passing over.

Conclusion: builds and tests pass again.

--- a/internal/place/cut.go
+++ b/internal/place/cut.go
@@ -39,6 +39,6 @@
 		b.Home = status.Home
 		s.r.homes.fill(&b, bucketKey(s.name, i))
 		s.set(i, b)
-		s.fixed[i] = true
+		s.rehomed[i] = true
 	}
 }
--- a/internal/place/quiet.go
+++ b/internal/place/quiet.go
@@ -13,7 +13,7 @@
 // isQuiet reports whether nothing is to be done since the last round.
 func (s *servicePlan) isQuiet() bool {
 	q, ok := s.r.planner.quiet[s.name]
-	if !ok || q.buckets != &s.buckets[0] || q.weights != s.weightHash() {
+	if !ok || len(s.r.kept) > 0 || q.buckets != &s.buckets[0] || q.weights != s.weightHash() {
 		return false
 	}
 	for _, m := range s.members {
