Wire health into placement, plain connections, requests and probes

Cause: placement believed what backend servers announced. Change: hosts probe two to a backend server by opening a connection; plain connections and requests tell how attempts went; placement sees an ejected backend server as draining, so that it keeps its flows.

--- a/internal/daemon/announce.go
+++ b/internal/daemon/announce.go
@@ -66,19 +66,33 @@
 
 // gossiped takes what the gossip brings.
 func (d *Daemon) gossiped(e member.Event) {
-	d.registry.mu.Lock()
-	defer d.registry.mu.Unlock()
 	var err error
 	switch {
+	case e.Kind == member.ItemChanged && isVote(e.Item):
+		err = d.health.take(e.Item)
 	case e.Kind == member.ItemChanged && strings.HasPrefix(e.Item.Key, registry.KeyPrefix):
-		err = d.registry.core.Take(d.clock.Now(), e.Item)
+		err = d.registry.take(d.clock.Now(), e.Item)
 	case e.Kind == member.Received:
-		var list []registry.Renewal
-		if list, err = registry.DecodeRenewals(e.Data); err == nil {
-			d.registry.core.Renewed(d.clock.Now(), list)
-		}
+		err = d.registry.renewed(d.clock.Now(), e.Data)
 	}
 	if err != nil {
 		d.log.Warnf("%v", err)
 	}
 }
+
+func (a *announcements) take(now time.Time, i member.Item) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.core.Take(now, i)
+}
+
+func (a *announcements) renewed(now time.Time, data []byte) error {
+	list, err := registry.DecodeRenewals(data)
+	if err != nil {
+		return err
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.core.Renewed(now, list)
+	return nil
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -45,6 +45,7 @@
 	freshness    follow.Freshness
 	tokens       *access.Tokens // nil lets everyone in
 	registry     *announcements
+	health       *healthView
 	reports      flowReports
 	server       *rpc.Server
 	client       *rpc.Client
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -11,6 +11,7 @@
 // openMembers sets up this host as a member. It does not gossip yet.
 func (d *Daemon) openMembers() error {
 	d.openRegistry()
+	d.openHealth()
 	log := d.logs.Part("members")
 	var key gossip.Key
 	if d.Config.GossipKeyFile != "" {
@@ -34,6 +35,7 @@
 	d.run(d.Members.Receive)
 	d.run(func() { d.Members.Tick(ctx) })
 	d.run(func() { d.keepRegistry(ctx) })
+	d.run(func() { d.health.run(ctx) })
 }
 
 // leading reports whether this host leads the control hosts and a quorum of
--- a/internal/daemon/placement.go
+++ b/internal/daemon/placement.go
@@ -83,7 +83,7 @@
 }
 
 func (d *Daemon) placeInput(now time.Time) place.Input {
-	in := place.Input{Now: now, Backends: d.registry.Backends()}
+	in := place.Input{Now: now, Backends: d.health.apply(d.registry.Backends())}
 	d.Replica.Read(func(s *state.State) {
 		in.Tree = s.Tree
 		in.TreeRevision = s.SettingsRevision
--- a/internal/daemon/requests.go
+++ b/internal/daemon/requests.go
@@ -21,7 +21,7 @@
 		return err
 	}
 	d.run(d.homes.Run)
-	handler := entry.NewRequests(d.Replica, d.homes, d.Metrics, d.clock)
+	handler := entry.NewRequests(d.Replica, d.homes, d.health, d.Metrics, d.clock)
 	d.requests = &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
 	d.run(func() { d.serveHTTP(d.requests, d.bound.requests) })
 	return nil
--- a/internal/daemon/streams.go
+++ b/internal/daemon/streams.go
@@ -9,6 +9,7 @@
 func (d *Daemon) startStreams() {
 	for service, l := range d.bound.streams {
 		s := entry.NewStream(l, service, d.Replica, d.Metrics, d.logs.Part("stream"))
+		s.Health = d.health
 		d.streams = append(d.streams, s)
 		d.run(s.Serve)
 	}
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -12,6 +12,7 @@
 	"greengagequay/internal/filter/identify"
 	"greengagequay/internal/filter/limit"
 	"greengagequay/internal/filter/once"
+	"greengagequay/internal/health"
 	"greengagequay/internal/homes"
 	"greengagequay/internal/metrics"
 	"greengagequay/internal/replica"
@@ -26,7 +27,7 @@
 }
 
 // NewRequests returns the handler of requests with its chain of filters.
-func NewRequests(r *replica.Replica, h *homes.Homes, m *metrics.Registry, c clock.Clock) *Requests {
+func NewRequests(r *replica.Replica, h *homes.Homes, o health.Observer, m *metrics.Registry, c clock.Clock) *Requests {
 	s := &Requests{metrics: m, clock: c}
 	s.chain = request.Chain(c, s.observe,
 		&identify.Filter{Replica: r},
@@ -34,7 +35,7 @@
 		&deadline.Filter{Replica: r, Clock: c, Longest: homes.MaxTimeout},
 		&once.Filter{Replica: r, Records: h},
 		&choose.Filter{Replica: r, Slots: h, Clock: c, Retries: &choose.Budget{Replica: r}},
-		&dispatch.Filter{Replica: r, Transport: dispatch.NewTransport(), Clock: c},
+		&dispatch.Filter{Replica: r, Transport: dispatch.NewTransport(), Clock: c, Health: o},
 	)
 	return s
 }
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -11,6 +11,7 @@
 
 	gometrics "github.com/rcrowley/go-metrics"
 
+	"greengagequay/internal/health"
 	"greengagequay/internal/logs"
 	"greengagequay/internal/metrics"
 	"greengagequay/internal/model"
@@ -24,6 +25,9 @@
 // Stream serves plain TCP connections of one service. A connection is pinned
 // to the entry host that took it.
 type Stream struct {
+	// Health is told how connections to backend servers go. It may be nil.
+	Health health.Observer
+
 	listener net.Listener
 	service  string
 	replica  *replica.Replica
@@ -85,7 +89,9 @@
 func (s *Stream) dial() (conn *net.TCPConn, backend string) {
 	for _, b := range s.ranked() {
 		s.count(b.ID, 1)
+		start := time.Now()
 		c, err := net.DialTimeout("tcp", b.Stream.String(), dialTimeout)
+		health.Note(s.Health, b.ID, err, nil, time.Since(start))
 		if err == nil {
 			return c.(*net.TCPConn), b.ID
 		}
--- a/internal/filter/dispatch/dispatch.go
+++ b/internal/filter/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 
 	"greengagequay/internal/clock"
 	"greengagequay/internal/fault"
+	"greengagequay/internal/health"
 	"greengagequay/internal/replica"
 	"greengagequay/internal/request"
 	"greengagequay/internal/table"
@@ -29,6 +30,7 @@
 	Replica   *replica.Replica
 	Transport http.RoundTripper
 	Clock     clock.Clock
+	Health    health.Observer // is told how attempts go, or nil
 }
 
 // Name returns "dispatch".
@@ -48,7 +50,9 @@
 		r.Ended = true
 		return err
 	}
+	start := f.Clock.Now()
 	resp, err := f.Transport.RoundTrip(out)
+	health.Note(f.Health, backend.ID, err, r.HTTP.Context().Err(), f.Clock.Now().Sub(start))
 	if err != nil {
 		return f.classify(r, err, sent.none())
 	}
--- a/internal/member/core.go
+++ b/internal/member/core.go
@@ -33,6 +33,7 @@
 	order    []string // hosts of the zone that are still to be probed in this round
 	seq      uint64
 	health   int // 0 is well; rises while this host's probes fail
+	budgets  budgets
 	rumors   rumors
 	eager    []string // records of this zone that other zones are told at once
 	next     schedule
@@ -74,7 +75,8 @@
 		seq:    uint64(o.Rand.Uint32()), // answers to an earlier process must not count
 		probes: map[uint64]*probe{}, relays: map[uint64]relay{}, suspects: map[string]*host{},
 	}
-	c.rumors.init()
+	c.rumors.left = map[string]int{}
+	c.budgets = budgets{news: newBudget(newsBurst), sync: newBudget(syncBurst), bridge: newBudget(syncBurst)}
 	c.self = &host{rec: recordOf(o.Self), hash: hashOf(o.Self.Name), revision: o.Self.Revision}
 	c.hosts[o.Self.Name] = c.self
 	c.zoneOf(o.Self.Zone).addHost(c.self)
@@ -226,7 +228,7 @@
 	c.last = now
 	c.elapsed += passed
 	c.at += min(passed, maxStep)
-	c.rumors.refill(min(passed, maxStep))
+	c.budgets.refill(min(passed, maxStep))
 	if passed > maxStep {
 		clear(c.probes)
 		clear(c.relays)
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -33,20 +33,21 @@
 
 // Sizes of the protocol.
 const (
-	MaxDatagram  = 1200 // bytes
-	indirect     = 3    // hosts asked to probe
-	bridges      = 2    // bridges of a zone
-	accusers     = 2    // independent accusers that a quick death needs
-	fixedBytes   = 500  // bytes of a message without news and progress
-	maxProgress  = 300  // hosts of a zone whose progress fits a message
-	rumorBytes   = 500  // bytes of news in one message
-	rumorRate    = 1200 // bytes of news per second
-	rumorBurst   = 8000 // bytes
-	maxForeign   = 8    // pieces of news from other zones that are spread at a time
-	parts        = 16   // slices of a zone that are compared one by one
-	headerBytes  = 28   // IPv4 and UDP headers of a datagram
-	maxExcepted  = 4    // hosts listed apart in a summary of progress
-	versionShift = 13   // bits of a host's version that count refutations
+	MaxDatagram  = 1200  // bytes
+	indirect     = 3     // hosts asked to probe
+	bridges      = 2     // bridges of a zone
+	accusers     = 2     // independent accusers that a quick death needs
+	fixedBytes   = 500   // bytes of a message without news and progress
+	maxProgress  = 300   // hosts of a zone whose progress fits a message
+	rumorBytes   = 500   // bytes of news in one message
+	budgetRate   = 700   // bytes per second of each budget
+	newsBurst    = 8000  // bytes
+	syncBurst    = 32000 // bytes
+	maxForeign   = 8     // pieces of news from other zones that are spread at a time
+	parts        = 16    // slices of a zone that are compared one by one
+	headerBytes  = 28    // IPv4 and UDP headers of a datagram
+	maxExcepted  = 4     // hosts listed apart in a summary of progress
+	versionShift = 13    // bits of a host's version that count refutations
 )
 
 // View lists the known hosts.
--- a/internal/member/record.go
+++ b/internal/member/record.go
@@ -117,7 +117,7 @@
 	if m.Kind == Records && c.fromOwnZone(m) {
 		c.quiet(m) // the zone knows these
 	}
-	c.sendRecords(from, answer.Hosts, answer.Items)
+	c.sendRecords(from, c.budgetFor(m), answer.Hosts, answer.Items)
 }
 
 func (c *Core) fromOwnZone(m *Message) bool {
--- a/internal/member/rumor.go
+++ b/internal/member/rumor.go
@@ -12,26 +12,54 @@
 
 func itemRumor(key string) string { return itemPrefix + key }
 
-// rumors is the news that this host still spreads, newest last. A byte budget
-// bounds what it sends, so that a mass of changes delays news, which the
-// comparisons then bring, and does not flood the network.
-type rumors struct {
-	left   map[string]int // by name: messages that still carry it
-	order  []string
-	budget int           // bytes
-	rest   time.Duration // not yet worth a byte
+// budget bounds the bytes of one kind of traffic. A mass of changes then
+// delays news, which later comparisons bring, and does not flood the network.
+type budget struct {
+	bytes int
+	most  int           // bytes that may be saved up
+	rest  time.Duration // not yet worth a byte
 }
 
-func (q *rumors) init() {
-	q.left = map[string]int{}
-	q.budget = rumorBurst
+func newBudget(burst int) budget { return budget{bytes: burst, most: burst} }
+
+func (b *budget) refill(passed time.Duration) {
+	b.rest += passed
+	n := int(b.rest * budgetRate / time.Second)
+	b.rest -= time.Duration(n) * time.Second / budgetRate
+	b.bytes = min(b.most, b.bytes+n)
 }
 
-func (q *rumors) refill(passed time.Duration) {
-	q.rest += passed
-	n := int(q.rest * rumorRate / time.Second)
-	q.rest -= time.Duration(n) * time.Second / rumorRate
-	q.budget = min(rumorBurst, q.budget+n)
+// spend takes n bytes from the budget if they are there.
+func (b *budget) spend(n int) bool {
+	if b.bytes < n {
+		return false
+	}
+	b.bytes -= n
+	return true
+}
+
+// budgets holds one budget each for news inside the zone, for comparisons
+// inside it, and for both between zones.
+type budgets struct{ news, sync, bridge budget }
+
+func (b *budgets) refill(passed time.Duration) {
+	b.news.refill(passed)
+	b.sync.refill(passed)
+	b.bridge.refill(passed)
+}
+
+// budgetFor returns the budget of answers to the message.
+func (c *Core) budgetFor(m *Message) *budget {
+	if c.fromOwnZone(m) {
+		return &c.budgets.sync
+	}
+	return &c.budgets.bridge
+}
+
+// rumors is the news that this host still spreads, newest last.
+type rumors struct {
+	left  map[string]int // by name: messages that still carry it
+	order []string
 }
 
 func (q *rumors) add(name string, times int) {
@@ -43,15 +71,6 @@
 
 func (q *rumors) remove(name string) { delete(q.left, name) }
 
-// spend takes n bytes from the budget if they are there.
-func (q *rumors) spend(n int) bool {
-	if q.budget < n {
-		return false
-	}
-	q.budget -= n
-	return true
-}
-
 // fanOut is the number of messages that carry one piece of news.
 func (c *Core) fanOut() int {
 	return 3 + bits.Len(uint(len(c.ownZone().hosts)))
@@ -67,7 +86,7 @@
 			continue // removed
 		}
 		size := c.rumorSize(name)
-		if size > 0 && (size > room || !c.rumors.spend(size)) {
+		if size > 0 && (size > room || !c.budgets.news.spend(size)) {
 			kept = append(kept, name)
 			continue
 		}
@@ -139,7 +158,7 @@
 	room := rumorBytes
 	for _, name := range names {
 		size := c.rumorSize(name)
-		if size == 0 || size > room || !c.rumors.spend(size) {
+		if size == 0 || size > room || !c.budgets.bridge.spend(size) {
 			continue // the next comparison brings it
 		}
 		room -= size
--- a/internal/member/sync.go
+++ b/internal/member/sync.go
@@ -102,7 +102,7 @@
 		answer.Mask |= 1 << slice
 		answer.Packed = append(answer.Packed, packed[:min(len(packed), maxPacked)]...)
 	}
-	if answer.Mask != 0 && c.rumors.spend(len(answer.Packed)) {
+	if answer.Mask != 0 && c.budgetFor(m).spend(len(answer.Packed)) {
 		c.sendRaw(from, answer)
 	}
 }
@@ -166,7 +166,7 @@
 			}
 		})
 	}
-	c.sendRecords(from, hosts, items)
+	c.sendRecords(from, c.budgetFor(m), hosts, items)
 	c.askFor(from, theirs)
 }
 
@@ -191,17 +191,17 @@
 			items = append(items, i.Item)
 		}
 	}
-	c.sendRecords(from, hosts, items)
+	c.sendRecords(from, c.budgetFor(m), hosts, items)
 }
 
 // sendRecords sends records in as many messages as they need and the byte
 // budget allows. What it does not allow waits for the next comparison.
-func (c *Core) sendRecords(to string, hosts []HostRecord, items []Item) {
+func (c *Core) sendRecords(to string, b *budget, hosts []HostRecord, items []Item) {
 	slices.SortFunc(hosts, func(a, b HostRecord) int { return int(int64(hashOf(a.Name)) - int64(hashOf(b.Name))) })
 	slices.SortFunc(items, func(a, b Item) int { return int(int64(hashOf(a.Key)) - int64(hashOf(b.Key))) })
 	m, room := &Message{Kind: Records}, recordBytes
 	fit := func(size int) bool {
-		if !c.rumors.spend(size) {
+		if !b.spend(size) {
 			return false
 		}
 		if size > room {
