Keep seeds and large zones within the byte budget, and suspect sooner

Cause: at 1,408 hosts the table test failed: 15603 B/s on one host, which was a seed that every host asked each ten seconds, and a death known after 3.15 s. Change: a seed hears from one host in four seconds, whatever their number; answers carry progress in zones of up to 32 hosts only; a new suspicion is sent to three hosts at once. Shorter probe timeouts were tried and taken back: TestSlowHost failed with 300 ms.

--- a/internal/member/core.go
+++ b/internal/member/core.go
@@ -250,7 +250,9 @@
 // send adds news, progress and the beacon to a message inside the zone.
 func (c *Core) send(to string, m *Message) {
 	m.Beacon = c.beacon.newest
-	m.Progress = c.progress()
+	if m.Kind != Ack || len(c.ownZone().list()) <= smallZone {
+		m.Progress = c.progress()
+	}
 	m.Bridge, m.Cut = c.cutZones()
 	c.addRumors(m)
 	c.sendRaw(to, m)
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -38,6 +38,7 @@
 	bridges      = 2     // bridges of a zone
 	accusers     = 2     // independent accusers that a quick death needs
 	fixedBytes   = 500   // bytes of a message without news and progress
+	smallZone    = 32    // hosts of a zone in which answers carry progress too
 	maxProgress  = 300   // hosts of a zone whose progress fits a message
 	rumorBytes   = 500   // bytes of news in one message
 	budgetRate   = 700   // bytes per second of each budget
--- a/internal/member/suspect.go
+++ b/internal/member/suspect.go
@@ -18,6 +18,9 @@
 	r.State = rankSuspect
 	r.Accusers = append(slices.Clone(r.Accusers), c.self.rec.Name)
 	c.putHost(r)
+	for _, p := range c.sample(c.peers(), indirect) {
+		c.send(p.rec.Gossip, &Message{Kind: News}) // with the suspicion among the news
+	}
 }
 
 // patience is the time in which the suspect may refute. It is longer with too
--- a/internal/member/sync.go
+++ b/internal/member/sync.go
@@ -16,6 +16,7 @@
 	recordBytes  = 1000 // bytes of records in one message
 	hurrySync    = 500 * time.Millisecond
 	maxWanted    = 100
+	seedRounds   = 4 // of reviveInterval, in which a seed hears from one host on average
 	digestsEqual = 0 // number of an Ack that only says that the sender lives
 )
 
@@ -50,7 +51,7 @@
 		m := &Message{Kind: Digest, Hosts: []HostRecord{c.self.rec, h.rec}}
 		c.sendRaw(h.rec.Gossip, m)
 	}
-	if len(c.seeds) > 0 && (len(c.peers()) == 0 || len(c.hosts) <= len(c.seeds) || c.rand.IntN(10) == 0) {
+	if len(c.seeds) > 0 && (len(c.peers()) == 0 || len(c.hosts) <= len(c.seeds) || c.rand.IntN(seedRounds*len(c.hosts)) == 0) {
 		c.sendDigest(c.seeds[c.rand.IntN(len(c.seeds))])
 	}
 }
