--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -41,7 +41,7 @@
 	smallZone    = 32    // hosts of a zone in which answers carry progress too
 	maxProgress  = 300   // hosts of a zone whose progress fits a message
 	rumorBytes   = 500   // bytes of news in one message
-	budgetRate   = 700   // bytes per second of each budget
+	budgetRate   = 350   // bytes per second of each budget
 	newsBurst    = 8000  // bytes
 	syncBurst    = 32000 // bytes
 	maxForeign   = 8     // pieces of news from other zones that are spread at a time
--- a/internal/member/sync.go
+++ b/internal/member/sync.go
@@ -14,7 +14,7 @@
 	entryBytes   = 8    // of one record in a comparison
 	maxPacked    = 1000 // bytes of the entries of one comparison
 	recordBytes  = 1000 // bytes of records in one message
-	hurrySync    = 500 * time.Millisecond
+	hurrySync    = time.Second
 	maxWanted    = 100
 	seedRounds   = 4 // of reviveInterval, in which a seed hears from one host on average
 	digestsEqual = 0 // number of an Ack that only says that the sender lives
