--- a/internal/member/fault_test.go
+++ b/internal/member/fault_test.go
@@ -23,6 +23,7 @@
 }
 
 func TestNoFalseEviction(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	d := time.Minute
 	if *hour {
@@ -39,6 +40,7 @@
 }
 
 func TestOneWayLoss(t *testing.T) {
+	t.Parallel()
 	for _, deaf := range []bool{true, false} {
 		t.Run(fmt.Sprintf("deaf=%v", deaf), func(t *testing.T) {
 			c := qt.New(t)
@@ -63,6 +65,7 @@
 }
 
 func TestOneLinkLost(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	nw := joined(c, 7, 3, 7)
 	evicted := evictions(nw)
@@ -72,6 +75,7 @@
 }
 
 func TestSlowHost(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	nw := joined(c, 8, 3, 7)
 	evicted := evictions(nw)
@@ -86,6 +90,7 @@
 }
 
 func TestPauseAndClockJump(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	nw := joined(c, 9, 3, 7)
 	evicted := evictions(nw)
@@ -108,6 +113,7 @@
 }
 
 func TestHalfTheHostsRestart(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	nw := joined(c, 10, 3, 8)
 	for i, n := range nw.nodes {
@@ -121,6 +127,7 @@
 }
 
 func TestOldIncarnationReturns(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	nw := joined(c, 11, 3, 7)
 	back := nw.nodes[3]
@@ -134,6 +141,7 @@
 }
 
 func TestNameTaken(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	nw := joined(c, 12, 1, 3)
 	taken := 0
@@ -150,6 +158,7 @@
 }
 
 func TestRackLost(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	nw := joined(c, 13, 3, 12)
 	for i := range 5 {
@@ -161,6 +170,7 @@
 }
 
 func TestLeave(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	nw := joined(c, 14, 3, 7)
 	nw.loss = 0.02
@@ -173,6 +183,7 @@
 }
 
 func TestZoneCutOff(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	nw := joined(c, 15, 3, 7)
 	nw.blocked = func(from, to *node) bool { return (from.self.Zone == "z02") != (to.self.Zone == "z02") }
--- a/internal/member/item_test.go
+++ b/internal/member/item_test.go
@@ -32,6 +32,7 @@
 }
 
 func TestDrainIsKnownEverywhere(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	nw := joined(c, 20, 8, 8)
 	nw.loss = 0.02
@@ -44,6 +45,7 @@
 }
 
 func TestDrainDuringPartition(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	nw := joined(c, 21, 3, 7)
 	nw.loss = 0.02
@@ -65,6 +67,7 @@
 
 // A flood of items delays news but does not pass the byte budget.
 func TestFloodOfItems(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	nw := joined(c, 22, 3, 4)
 	evicted := evictions(nw)
--- a/internal/member/lease_test.go
+++ b/internal/member/lease_test.go
@@ -22,6 +22,7 @@
 }
 
 func TestLeaseOfCutOffHostEndsThereFirst(t *testing.T) {
+	t.Parallel()
 	for _, oneWay := range []string{"both", "to", "from"} {
 		c := qt.New(t)
 		nw := joined(c, 16, 3, 7)
@@ -48,6 +49,7 @@
 }
 
 func TestLeaseSurvivesChangeOfLeaderAndClockJump(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	nw := joined(c, 17, 3, 7)
 	nw.loss = 0.02
@@ -68,6 +70,7 @@
 }
 
 func TestRevisionInForceIsKnownToTheLeader(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	nw := joined(c, 18, 3, 7)
 	nw.loss = 0.02
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -19,6 +19,7 @@
 }
 
 func TestJoin(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	for _, size := range [][2]int{{1, 2}, {3, 7}, {4, 5}, {8, 8}} {
 		nw := newNetwork(1, size[0], size[1])
@@ -30,6 +31,7 @@
 }
 
 func TestDeadHostIsKnownInItsZone(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	nw := joined(c, 2, 3, 7)
 	nw.loss = 0.02
