--- a/internal/fence/fence.go
+++ b/internal/fence/fence.go
@@ -69,7 +69,7 @@
 	Marks  []Mark // older claims that the host took
 	Served Epoch  // epoch of which the host holds every record, 0 for none
 	Opened Epoch  // last epoch under which the host served as home, 0 for none
-	Since  int64  // start of the process, microseconds since 1970
+	Since  int64  // when the table first listed the process, microseconds since 1970
 }
 
 // Verdict is the result of a takeover.
@@ -87,14 +87,17 @@
 type Takeover struct {
 	epoch   Epoch
 	born    int64
+	first   []string            // processes
 	waiting map[string]struct{} // by host name
 	reports []Report
 }
 
 // NewTakeover starts a takeover that needs a report of each named host. The
 // unit exists since born, in microseconds since 1970; 0 if that is unknown.
-func NewTakeover(e Epoch, born int64, hosts []string) *Takeover {
-	t := &Takeover{epoch: e, born: born, waiting: map[string]struct{}{}}
+// first are the processes of the hosts if no other process was ever listed,
+// else nil.
+func NewTakeover(e Epoch, born int64, hosts, first []string) *Takeover {
+	t := &Takeover{epoch: e, born: born, first: first, waiting: map[string]struct{}{}}
 	for _, h := range hosts {
 		t.waiting[h] = struct{}{}
 	}
@@ -172,9 +175,13 @@
 	return false
 }
 
-// unclaimed decides for a unit that no reporting process remembers. Only
-// processes older than the unit prove that nobody served it.
+// unclaimed decides for a unit that no reporting process remembers. Nobody
+// served it if these are all processes that were ever listed, or if each was
+// listed before the unit came to be.
 func (t *Takeover) unclaimed() Verdict {
+	if t.allReported() {
+		return Fresh
+	}
 	for _, r := range t.reports {
 		if r.Since > t.born {
 			return Lost
@@ -182,3 +189,16 @@
 	}
 	return Fresh
 }
+
+// allReported reports whether each process that was ever listed reported.
+func (t *Takeover) allReported() bool {
+	if len(t.first) == 0 || len(t.reports) != len(t.first) {
+		return false
+	}
+	for _, r := range t.reports {
+		if !slices.Contains(t.first, r.Host) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/homes/homes.go
+++ b/internal/homes/homes.go
@@ -71,7 +71,7 @@
 	mu      sync.Mutex
 	core    *slots.Core
 	waiting map[string]chan slots.Verdict // queued attempts
-	acks    map[string]time.Time          // when each host that agrees to the claim was asked
+	acks    map[string]time.Time          // when each process that agrees to the claim was last asked
 	claimed time.Time
 	former  string // host that had the claim before
 }
--- a/internal/homes/service.go
+++ b/internal/homes/service.go
@@ -29,8 +29,9 @@
 
 // FenceReply answers FenceArgs, in its order.
 type FenceReply struct {
-	Slots []SlotReply
-	Keys  []KeyReply
+	Process string // that answers
+	Slots   []SlotReply
+	Keys    []KeyReply
 }
 
 // SlotReply answers a claim on slots.
@@ -83,7 +84,7 @@
 
 func (h *Homes) fenced(host string, args *FenceArgs, reply FenceReply, asked time.Time) {
 	for i, r := range reply.Slots {
-		h.slotsFenced(host, args.Slots[i], r, asked)
+		h.slotsFenced(host, reply.Process, args.Slots[i], r, asked)
 	}
 	for i, r := range reply.Keys {
 		u, claim := h.shardOf(args.Keys[i].Unit), args.Keys[i]
@@ -97,7 +98,7 @@
 	}
 }
 
-func (h *Homes) slotsFenced(host string, claim Claim, r SlotReply, asked time.Time) {
+func (h *Homes) slotsFenced(host, process string, claim Claim, r SlotReply, asked time.Time) {
 	u := h.slotsOf(claim.Unit)
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -111,7 +112,7 @@
 	if claim.Report {
 		u.core.Reported(host, claim.Mark.Epoch, r.Report, h.Clock.Now())
 	}
-	u.acks[host] = asked
+	u.acks[process] = asked
 	if until, ok := h.majority(claim.Unit, u.acks); ok {
 		u.core.Renew(claim.Mark.Epoch, until)
 	}
@@ -128,7 +129,7 @@
 		var asked []time.Time
 		voters := v.electorate(b)
 		for _, host := range voters {
-			if at, ok := acks[host]; ok {
+			if at, ok := acks[v.process(host)]; ok {
 				asked = append(asked, at)
 			}
 		}
@@ -153,6 +154,7 @@
 // refused, so that a process without memory agrees to no outdated home.
 func (s *Service) Fence(args FenceArgs, out *FenceReply) error {
 	v := s.h.view()
+	out.Process = s.h.self
 	for _, claim := range args.Slots {
 		out.Slots = append(out.Slots, s.fenceSlots(v, claim, v.homes[claim.Unit]))
 	}
--- a/internal/homes/slots.go
+++ b/internal/homes/slots.go
@@ -103,17 +103,17 @@
 	if answer.Verdict != slots.Granted {
 		return nil, answer.Verdict
 	}
-	if !u.start(slot.Attempt, answer.Epoch, deadline, h.Clock.Now()) {
+	if !u.start(slot.Attempt, answer.Claim, deadline, h.Clock.Now()) {
 		h.background(func(context.Context) { slot.release(home, 0) })
 		return nil, slots.NotHome
 	}
 	return slot, slots.Granted
 }
 
-func (u *slotUnit) start(attempt string, e fence.Epoch, deadline, now time.Time) bool {
+func (u *slotUnit) start(attempt string, claim fence.Mark, deadline, now time.Time) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.core.Start(attempt, e, deadline, now)
+	return u.core.Start(attempt, claim, deadline, now)
 }
 
 // Release gives the slot back. An attempt that did not end with a whole answer
--- a/internal/homes/tick.go
+++ b/internal/homes/tick.go
@@ -78,6 +78,11 @@
 	return processes
 }
 
+// votes reports whether a host is of the electorate of a backend server.
+func (v view) votes(host string, b table.Backend) bool {
+	return slices.Contains(v.electorate(b), host)
+}
+
 func (v view) slotHome(b table.Backend) string { return v.homes[slotUnitOf(b)] }
 
 // process returns the process of a host of the table.
@@ -142,8 +147,8 @@
 	}
 }
 
-// noteHosts keeps the addresses of all hosts and notices a gap in this host's
-// own presence in the table.
+// noteHosts keeps the addresses of all hosts and notices when the table lists
+// this host for the first time or again.
 func (h *Homes) noteHosts(v view) {
 	h.mu.Lock()
 	for _, host := range v.table.Hosts {
@@ -151,19 +156,19 @@
 	}
 	own, listed := v.byName[h.Name]
 	now := presence{own.Num, own.Returns}
-	rejoined := listed && h.presence != (presence{}) && h.presence != now
+	joined := listed && h.presence != now
 	if listed {
 		h.presence = now
 	}
 	var units []*slotUnit
-	if rejoined {
+	if joined {
 		h.since = v.now.UnixMicro()
 		for _, u := range h.slots {
 			units = append(units, u)
 		}
 	}
 	h.mu.Unlock()
-	if !rejoined {
+	if !joined {
 		return
 	}
 	for _, u := range units {
@@ -190,7 +195,7 @@
 	if !u.core.Stands() {
 		u.former = hostOf(u.core.Home())
 		hosts := withFormer(v.names(), u.former)
-		if u.core.Claim(fence.Epoch(v.table.Revision), int64(b.Incarnation), hosts, params, v.now) {
+		if u.core.Claim(fence.Epoch(v.table.Revision), int64(b.Incarnation), hosts, v.first(h.Replica), params, v.now) {
 			u.claimed = v.now
 			clear(u.acks)
 		}
@@ -207,8 +212,10 @@
 	for _, host := range u.core.Waiting() {
 		calls.of(host).addSlots(Claim{Unit: u.name, Mark: claim, Report: true})
 	}
-	for _, host := range v.electorate(b) {
-		if v.now.Sub(u.acks[host]) >= renewInterval {
+	for _, host := range v.names() {
+		asked, ok := u.acks[v.process(host)]
+		renew := v.votes(host, b) && v.now.Sub(asked) >= renewInterval
+		if !ok || renew {
 			calls.of(host).addSlots(Claim{Unit: u.name, Mark: claim})
 		}
 	}
--- a/internal/oncekey/core.go
+++ b/internal/oncekey/core.go
@@ -29,7 +29,7 @@
 // host that sends requests. It is not safe for concurrent use.
 type Core struct {
 	self    string // process name
-	since   int64  // start of the process, microseconds since 1970
+	since   int64  // when the table first listed the process, microseconds since 1970
 	marks   fence.Marks
 	records map[string]entry // as home or backup, by key
 	sending map[string]entry // by key
@@ -46,7 +46,6 @@
 	epoch    fence.Epoch
 	params   Params
 	takeover *fence.Takeover
-	first    []string // processes, if there were no others before
 	reports  []Report
 	gathered bool // the takeover is decided; the backup may lack records
 	decided  time.Time
@@ -102,7 +101,7 @@
 	if e <= max(c.marks.Last().Epoch, c.outbid) {
 		return false
 	}
-	c.home = &home{epoch: e, params: p, first: first, takeover: fence.NewTakeover(e, 0, hosts)}
+	c.home = &home{epoch: e, params: p, takeover: fence.NewTakeover(e, 0, hosts, first)}
 	return true
 }
 
@@ -166,9 +165,6 @@
 	if verdict == fence.Pending {
 		return
 	}
-	if c.home.neverServed() {
-		verdict = fence.Complete
-	}
 	for _, r := range c.home.reports {
 		for _, rec := range r.Records {
 			c.merge(rec, now)
@@ -178,28 +174,14 @@
 		}
 	}
 	c.home.floor = c.floorOf(verdict, served, now)
-	c.home.lost = verdict != fence.Complete
+	c.home.lost = verdict == fence.Lost
 	c.home.gathered, c.home.decided, c.home.reports = true, now, nil
 }
 
-// neverServed reports whether all processes that ever were entry hosts have
-// reported, and none knows of an earlier claim.
-func (h *home) neverServed() bool {
-	if len(h.first) == 0 || len(h.reports) != len(h.first) {
-		return false
-	}
-	for _, r := range h.reports {
-		if len(r.Marks) > 0 || r.Served != 0 || r.Opened != 0 || !slices.Contains(h.first, r.Host) {
-			return false
-		}
-	}
-	return true
-}
-
 // floorOf returns the floor after a takeover. A key's time may run ahead of
 // the clock that checked it by MaxSkew, and that clock ahead of this one.
 func (c *Core) floorOf(v fence.Verdict, served fence.Epoch, now time.Time) Floor {
-	if v != fence.Complete {
+	if v == fence.Lost {
 		return Floor{Time: now.Add(2*MaxSkew + LeaseTerm), Epoch: c.home.epoch}
 	}
 	var floor Floor
--- a/internal/slots/core.go
+++ b/internal/slots/core.go
@@ -13,7 +13,7 @@
 // use.
 type Core struct {
 	self    string // process name
-	since   int64  // start of the process, microseconds since 1970
+	since   int64  // when the table first listed the process, microseconds since 1970
 	marks   fence.Marks
 	running map[string]time.Time // own attempts at the backend server, and when each ends at the latest
 	home    *home                // nil unless this host claims to be the home
@@ -36,12 +36,14 @@
 // Home returns the process that claims the slots, as this host knows.
 func (c *Core) Home() string { return c.marks.Last().Home }
 
-// Start notes that an attempt goes to the backend server. It reports false if
-// the grant is void; the attempt must then not be sent.
-func (c *Core) Start(attempt string, e fence.Epoch, deadline, now time.Time) bool {
-	if !c.marks.Allows(e) || !now.Before(deadline) {
+// Start notes that an attempt goes to the backend server on a grant that was
+// given under the claim. It reports false if the grant is void; the attempt
+// must then not be sent.
+func (c *Core) Start(attempt string, claim fence.Mark, deadline, now time.Time) bool {
+	if !c.marks.Allows(claim.Epoch) || !now.Before(deadline) {
 		return false
 	}
+	c.marks.Advance(claim) // a host that was listed after the claim learns of it here
 	c.running[attempt] = deadline.Add(CancelGrace)
 	return true
 }
@@ -89,16 +91,17 @@
 }
 
 // Claim starts to take the slots over as their home. hosts are the entry hosts
-// of the table, and born is the start of the backend server in microseconds
-// since 1970. It reports false if a newer claim is known.
-func (c *Core) Claim(e fence.Epoch, born int64, hosts []string, p Params, now time.Time) bool {
+// that must report, and first their processes if no other process has been an
+// entry host before, else nil. born is the start of the backend server in
+// microseconds since 1970. It reports false if a newer claim is known.
+func (c *Core) Claim(e fence.Epoch, born int64, hosts, first []string, p Params, now time.Time) bool {
 	if e <= max(c.marks.Last().Epoch, c.outbid) {
 		return false
 	}
 	if c.home != nil {
 		c.closeHome()
 	}
-	c.home = newHome(e, fence.NewTakeover(e, born, hosts), p, now)
+	c.home = newHome(c.self, e, fence.NewTakeover(e, born, hosts, first), p, now)
 	return true
 }
 
--- a/internal/slots/home.go
+++ b/internal/slots/home.go
@@ -27,6 +27,7 @@
 
 // home is the state of a backend server's home.
 type home struct {
+	self      string // process name
 	epoch     fence.Epoch
 	params    Params
 	claimed   time.Time
@@ -45,8 +46,8 @@
 	service   time.Duration        // average service time
 }
 
-func newHome(e fence.Epoch, t *fence.Takeover, p Params, now time.Time) *home {
-	return &home{epoch: e, takeover: t, params: p, claimed: now, held: map[string]hold{}, released: map[string]time.Time{}}
+func newHome(self string, e fence.Epoch, t *fence.Takeover, p Params, now time.Time) *home {
+	return &home{self: self, epoch: e, takeover: t, params: p, claimed: now, held: map[string]hold{}, released: map[string]time.Time{}}
 }
 
 // tryOpen opens the home once it knows every attempt that may run.
@@ -125,7 +126,9 @@
 	return Load{Busy: len(h.held), Queued: len(h.queue), Slots: h.params.Slots}
 }
 
-func (h *home) answer(v Verdict) Answer { return Answer{Verdict: v, Epoch: h.epoch, Load: h.load()} }
+func (h *home) answer(v Verdict) Answer {
+	return Answer{Verdict: v, Claim: fence.Mark{Epoch: h.epoch, Home: h.self}, Load: h.load()}
+}
 
 func (h *home) acquire(r Request, now time.Time) Answer {
 	h.expireHeld(now)
--- a/internal/slots/messages.go
+++ b/internal/slots/messages.go
@@ -41,7 +41,7 @@
 // Answer is the answer to a Request.
 type Answer struct {
 	Verdict Verdict
-	Epoch   fence.Epoch // under which the slot was granted
+	Claim   fence.Mark // under which the slot was granted
 	Load    Load
 	Evicted string // attempt that lost its place in the queue to this one, if any
 }
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -32,6 +32,7 @@
 	Total    int            // requests that ran
 	Cut      int            // uploads that were cut off; they did not run
 	Shed     int
+	Busy     int // requests in progress
 	Most     int // most requests at once
 	Exceeded int // requests that came while all slots were in use
 }
@@ -186,6 +187,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := s.counts
+	c.Busy = s.busy
 	c.Runs, c.Attempts, c.Targets = maps.Clone(c.Runs), maps.Clone(c.Attempts), maps.Clone(c.Targets)
 	return c
 }
