Let 200 buckets a second start to move, and test rolling drains

Change: the default of balance.moves_per_second is 200; a drain and the bound on stored size are as before.

--- /dev/null
+++ b/internal/daemon/reports_test.go
@@ -0,0 +1,63 @@
+package daemon
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"greengagequay/internal/records"
+	"greengagequay/internal/table"
+)
+
+func report(host string, incarnation uint64, flows ...int64) EntryReport {
+	r := EntryReport{Host: host, Incarnation: incarnation, Flows: map[table.BackendNum]int64{}}
+	for i, n := range flows {
+		r.Flows[table.BackendNum(i+1)] = n
+	}
+	return r
+}
+
+func TestCountsOfEntryHostsAddUp(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	backends := map[table.BackendNum]table.Backend{1: {Num: 1, Incarnation: 1}, 2: {Num: 2, Incarnation: 1}}
+	var r flowReports
+	r.take(report("a", 1, 10, 5), now)
+	r.take(report("b", 1, -3, 2), now)
+	c.Assert(r.openFlows(backends), qt.DeepEquals, map[table.BackendNum]float64{1: 7, 2: 7})
+
+	r.take(report("a", 2, 1), now) // restarted: what it counted before still holds
+	c.Assert(r.openFlows(backends), qt.DeepEquals, map[table.BackendNum]float64{1: 8, 2: 7})
+	r.take(report("a", 1, 100, 100), now) // late, from the process before
+	c.Assert(r.openFlows(backends), qt.DeepEquals, map[table.BackendNum]float64{1: 8, 2: 7})
+
+	backends[1] = table.Backend{Num: 1, Incarnation: 2} // its flows are lost
+	c.Assert(r.openFlows(backends), qt.DeepEquals, map[table.BackendNum]float64{1: 0, 2: 7})
+	r.take(report("b", 1, 1, 2), now)
+	c.Assert(r.openFlows(backends), qt.DeepEquals, map[table.BackendNum]float64{1: 4, 2: 7})
+}
+
+func TestOldStatusesDoNotCount(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	var r flowReports
+	r.take(EntryReport{Host: "a", Statuses: []records.BucketStatus{{Service: "s"}}}, now)
+	c.Assert(r.statuses(now.Add(flowReportLease)), qt.HasLen, 1)
+	c.Assert(r.statuses(now.Add(flowReportLease+1)), qt.HasLen, 0)
+}
+
+func TestOnlyNewsIsReported(t *testing.T) {
+	c := qt.New(t)
+	bucket := table.Bucket{Phase: table.Move, Backups: [table.MaxBackups]table.HostNum{7, 8}, Synced: 1}
+	tab := &table.Table{ByName: map[string]*table.Service{"s": {Buckets: []table.Bucket{bucket, bucket, bucket}}}}
+	copied := func(n table.HostNum) []records.CopyStatus { return []records.CopyStatus{{Backup: n}} }
+	got := worthTelling(tab, []records.BucketStatus{
+		{Service: "s", Bucket: 0, Copies: copied(7)},
+		{Service: "s", Bucket: 1, Copies: copied(8)},
+		{Service: "s", Bucket: 2, Done: true},
+		{Service: "s", Bucket: 3, Done: true},
+		{Service: "gone", Done: true},
+	})
+	c.Assert(got, qt.HasLen, 2)
+}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -14,9 +14,6 @@
 
 // Times of the planner.
 const (
-	// HostLease is the time after which a host that hears nothing from the
-	// control hosts stops to forward by its table alone.
-	HostLease = 2 * time.Second
 	// warmUp is how long a new planner waits to hear from a host or backend
 	// server that is in the placement before it counts it as gone.
 	warmUp = 10 * time.Second
@@ -37,8 +34,8 @@
 // Host is an entry host as the controller knows it.
 type Host struct {
 	model.Host
-	// LeaseOut is true once the host has been silent for HostLease. It then
-	// no longer forwards by an old table.
+	// LeaseOut is true once the host's lease has run out. It then no longer
+	// forwards by its table alone.
 	LeaseOut bool
 	// Leaving is true while the host hands its records over.
 	Leaving bool
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -221,3 +221,30 @@
 	w.run(time.Second)
 	c.Assert(w.opening("s"), qt.DeepEquals, map[string]int{"s-00": 38, "s-02": 13, "s-03": 13})
 }
+
+// drainTime is the time within which a draining backend server gets no new
+// flow any more.
+const drainTime = 3 * time.Second
+
+func TestEachBackendDrainedAndEachHostRestartedInTurn(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(3, 20, set("/s", settings.ServiceZones, `["a","b","c"]`)) // default buckets and rate
+	w.add("s", 14)
+	w.run(3 * time.Second)
+	for i := range 20 {
+		drained := &w.backends[i%14]
+		drained.State = model.Draining
+		w.hosts[i].Incarnation++
+		w.run(drainTime)
+		c.Assert(w.opening("s")[drained.ID], qt.Equals, 0)
+		c.Assert(w.opening("s"), qt.HasLen, 13)
+		drained.State = model.Ready
+		w.run(drainTime)
+	}
+	longest := 0
+	for _, b := range w.buckets("s") {
+		longest = max(longest, b.Len())
+		c.Assert(b.Moving() && b.Synced != 3, qt.IsFalse)
+	}
+	c.Assert(longest <= 2, qt.IsTrue, qt.Commentf("%d candidates", longest))
+}
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -82,7 +82,7 @@
 	{Name: FlowIdleTimeout, Type: Duration, Min: 1, Max: 86400, Default: `"4h"`, Deepest: ServiceLevel, Help: "a flow without packets for this long is forgotten"},
 	{Name: FlowStallTimeout, Type: Duration, Min: 1, Max: 3600, Default: `"20s"`, Deepest: ServiceLevel, Help: "a flow whose client repeats itself without progress for this long is reset"},
 	{Name: BalanceImbalance, Type: Float, Min: 0, Max: 1, Default: `0.5`, Deepest: ServiceLevel, Help: "weight of imbalance against broken flows, 0 never moves a bucket for load"},
-	{Name: BalanceMoveRate, Type: Float, Unit: "buckets/s", Min: 0.01, Max: 10000, Default: `100`, Deepest: ServiceLevel, Help: "most buckets that start to move per second"},
+	{Name: BalanceMoveRate, Type: Float, Unit: "buckets/s", Min: 0.01, Max: 10000, Default: `200`, Deepest: ServiceLevel, Help: "most buckets that start to move per second"},
 	{Name: BackendWeight, Type: Int, Min: 0, Max: 100000, Default: `100`, Deepest: BackendLevel, Help: "relative share of flows and requests"},
 	{Name: BackendSlots, Type: Int, Unit: "requests", Min: 1, Max: 100000, Default: `3`, Deepest: BackendLevel, Help: "requests that may run at once, unless the backend server announces its own"},
 	{Name: BackendDrain, Type: Bool, Default: `false`, Deepest: BackendLevel, Help: "true takes new work away, as if the backend server announced that it drains"},
