--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -7,7 +7,6 @@
 	mathrand "math/rand/v2"
 
 	"greengagequay/internal/control"
-	"greengagequay/internal/model"
 	"greengagequay/internal/rpc"
 	"greengagequay/internal/state"
 	"greengagequay/internal/wal"
@@ -40,7 +39,7 @@
 	d.transport = control.NewRPCTransport(d.client)
 	d.commits, err = control.Open(control.Options{
 		Name: d.Config.Name, Addr: d.Config.RPC, Peers: peers, Bootstrap: d.Config.Bootstrap,
-		Disk: disk, Replica: d.Replica, Transport: d.transport, Clock: d.clock, Log: d.logs.Part("control"),
+		Disk: disk, Replica: d.Replica, Transport: d.transport, Clock: d.clock, Log: d.logs.Part("control"), Metrics: d.Metrics,
 		Rand:   mathrand.New(mathrand.NewPCG(randomUint64(), randomUint64())),
 		Random: randomUint64,
 	})
@@ -76,8 +75,3 @@
 	*out = result
 	return rpc.EncodeError(err)
 }
-
-// Announce takes the announcement of a backend server.
-func (s *controlService) Announce(b model.Backend, _ *struct{}) error {
-	return rpc.EncodeError(s.d.registry.Announce(b, s.d.clock.Now()))
-}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,10 +20,10 @@
 	"greengagequay/internal/entry"
 	"greengagequay/internal/follow"
 	"greengagequay/internal/gossip"
+	"greengagequay/internal/homes"
 	"greengagequay/internal/logs"
 	"greengagequay/internal/metrics"
 	"greengagequay/internal/model"
-	"greengagequay/internal/registry"
 	"greengagequay/internal/replica"
 	"greengagequay/internal/request"
 	"greengagequay/internal/rpc"
@@ -44,7 +44,7 @@
 	controlBytes atomic.Int64
 	freshness    follow.Freshness
 	tokens       *access.Tokens // nil lets everyone in
-	registry     *registry.Registry
+	registry     *announcements
 	reports      flowReports
 	server       *rpc.Server
 	client       *rpc.Client
@@ -52,6 +52,7 @@
 	transport    *control.RPCTransport
 	api          *http.Server
 	requests     *http.Server
+	homes        *homes.Homes // nil unless an entry host
 	streams      []*entry.Stream
 	flows        *flows // nil unless an entry host
 	cancel       context.CancelFunc
@@ -73,7 +74,6 @@
 		logs:        l,
 		log:         l.Part("daemon"),
 		incarnation: uint64(c.Now().UnixMicro()),
-		registry:    registry.New(),
 	}
 	d.Metrics.GaugeFunc("control.bytes", d.ControlBytes)
 	d.Metrics.GaugeFunc("state.revision", func() int64 { return int64(d.Replica.Revision()) })
@@ -116,7 +116,9 @@
 			return err
 		}
 		d.run(func() { d.reportFlows(ctx) })
-		d.startRequests(ctx)
+		if err := d.startRequests(ctx); err != nil {
+			return err
+		}
 		d.startStreams()
 	}
 	return d.startAPI()
@@ -166,6 +168,7 @@
 	for _, s := range d.streams {
 		s.Close()
 	}
+	d.leaveHomes(ctx)
 	var errs []error
 	if d.requests != nil {
 		errs = append(errs, d.requests.Shutdown(ctx))
@@ -184,6 +187,9 @@
 // Kill ends the process at once, as a crash would.
 func (d *Daemon) Kill() {
 	d.cancel()
+	if d.homes != nil {
+		d.homes.Close()
+	}
 	d.bound.Close()
 	_ = d.api.Close()
 	if d.requests != nil {
