--- a/internal/records/store_test.go
+++ b/internal/records/store_test.go
@@ -38,6 +38,36 @@
 	c.Assert(s.Len(), qt.Equals, len(want))
 }
 
+// TestReadersWithoutLock looks flows up while others of the shard come and go.
+func TestReadersWithoutLock(t *testing.T) {
+	s := New(10000)
+	flow := func(i uint64) uint64 { return i * 0x9e3779b97f4a7c15 &^ 63 }
+	for i := range uint64(100) {
+		s.Put(Record{Flow: flow(i), Backend: table.BackendNum(i + 1)}, 0, 0)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for i := range uint64(200000) {
+			other := flow(1000 + i%500)
+			s.Put(Record{Flow: other, Backend: 9999}, 0, 0)
+			s.Delete(flow(1000 + (i*7)%500))
+		}
+	}()
+	for round := Seconds(0); ; round++ {
+		for i := range uint64(100) {
+			if n, _, ok := s.Lookup(flow(i), round); !ok || n != table.BackendNum(i+1) {
+				t.Fatalf("flow %d: got %d %v", i, n, ok)
+			}
+		}
+		select {
+		case <-done:
+			return
+		default:
+		}
+	}
+}
+
 func TestExpireKeepsTheRest(t *testing.T) {
 	c := qt.New(t)
 	s := New(10000)
