Decide on new flows by the table while a cut heals

In a daemon the hosts reached, and with them the stand-ins, changed as soon as the cut ended.

Change: while a cut heals, only recorded flows go to where the stand-in put them; all others are decided on as everywhere. The stand-ins stay the same.

--- a/internal/daemon/flowviews.go
+++ b/internal/daemon/flowviews.go
@@ -17,8 +17,9 @@
 	router  *route.Router
 	mu      sync.Mutex // serialises the building of views
 	current atomic.Pointer[cachedView]
-	cut     bool      // guarded by mu
-	back    time.Time // when a cut-off host had its lease back; guarded by mu
+	cut     bool            // guarded by mu
+	reached map[string]bool // names of the hosts reached in the cut; guarded by mu
+	back    time.Time       // when a cut-off host had its lease back; guarded by mu
 }
 
 type cachedView struct {
@@ -76,18 +77,26 @@
 	t := c.d.Replica.Table()
 	v := route.NewView(t, c.d.Config.Name, c.router)
 	if c.cut {
-		v = v.CutOff(c.reached())
+		v = c.cutOff(v)
 	}
 	c.current.Store(&cachedView{table: t, view: v})
 }
 
-// reached returns a function that tells which hosts count as reachable.
-func (c *viewCache) reached() func(table.Host) bool {
-	alive := map[string]bool{}
-	for _, h := range c.d.Members.Hosts() {
-		alive[h.Name] = h.State == model.Alive
+// cutOff returns the view of a host that is cut off. While it heals, the hosts
+// that it reached before stand in as they did.
+func (c *viewCache) cutOff(v *route.View) *route.View {
+	healing := !c.back.IsZero()
+	if !healing {
+		c.reached = map[string]bool{}
+		for _, h := range c.d.Members.Hosts() {
+			c.reached[h.Name] = h.State == model.Alive
+		}
 	}
-	return func(h table.Host) bool { return alive[h.Name] }
+	v = v.CutOff(func(h table.Host) bool { return c.reached[h.Name] })
+	if healing {
+		v = v.Healing()
+	}
+	return v
 }
 
 // leaseOut reports whether the lease that this host had from the control
--- a/internal/route/cutoff.go
+++ b/internal/route/cutoff.go
@@ -11,8 +11,9 @@
 	"greengagequay/internal/table"
 )
 
-// HealDelay is how long a host whose lease is back goes on as if it were cut
-// off, while it passes its records on.
+// HealDelay is how long a host whose lease is back still asks the stand-ins of
+// the cut for their records, while they pass them on. Flows without a record
+// are decided on by the table.
 const HealDelay = 2 * time.Second
 
 // BucketID names a bucket.
@@ -102,13 +103,16 @@
 		return v.toHome(d, home)
 	}
 	n, _, ok := r.Records.Lookup(d.flow, now)
+	if !ok && v.healing {
+		return r.byBucket(now, v, d) // all hosts decide alike on new flows again
+	}
 	if !ok {
 		return r.placeCutOff(now, v, d)
 	}
 	if !v.delivers(n, d.svc) {
 		return d.verdict(Reset, LostBackend)
 	}
-	if !v.reaches(n) {
+	if !v.reaches(n) && !v.healing {
 		return d.verdict(Drop, CutOff)
 	}
 	return d.forward(n)
--- a/internal/route/scenario_test.go
+++ b/internal/route/scenario_test.go
@@ -178,7 +178,8 @@
 		s.run(s.patience)
 	}},
 	{"zone cut off, then healed", func(s *sim) {
-		s.stall = time.Hour // else flows across the cut are reset
+		s.stall = time.Hour          // else flows across the cut are reset
+		s.patience = 2 * time.Minute // TCP waits longer than a cut of 35 s
 		zone := s.hosts[0].Zone
 		s.cut, s.fabric, s.cutAt = zone, zone, s.now
 		s.run(5 * time.Second)
--- a/internal/route/simhosts_test.go
+++ b/internal/route/simhosts_test.go
@@ -97,5 +97,8 @@
 	h.view = route.NewView(t, h.Name, h.router)
 	if h.isCut {
 		h.view = h.view.CutOff(func(o table.Host) bool { return o.Zone == h.Zone })
+		if h.heardAt > 0 {
+			h.view = h.view.Healing()
+		}
 	}
 }
--- a/internal/route/view.go
+++ b/internal/route/view.go
@@ -20,6 +20,7 @@
 	// in order. It is nil unless the host is cut off.
 	reachable []table.HostNum
 	zones     map[string]bool // zones of the reachable hosts
+	healing   bool            // the lease is back, see HealDelay
 	slots     []serviceSlot   // hash table with linear probing
 	members   []memberSlot    // hash table with linear probing
 }
@@ -67,6 +68,13 @@
 	return &c
 }
 
+// Healing returns a view of a cut-off host whose lease is back.
+func (v *View) Healing() *View {
+	c := *v
+	c.healing = true
+	return &c
+}
+
 func (v *View) isCut() bool { return v.reachable != nil }
 
 // Self returns the number of the host, 0 if the table does not name it.
