--- /dev/null
+++ b/internal/demo/demo_test.go
@@ -0,0 +1,20 @@
+package demo
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Every invariant that the demonstration checks must hold.
+func TestDemonstration(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+	defer cancel()
+	report, err := Run(ctx, Options{Flows: 100, Requests: 20, Seed: 2})
+	c.Assert(err, qt.IsNil)
+	c.Assert(report.FlowsOpened, qt.Equals, 250)
+	c.Assert(report.Answered > 0, qt.IsTrue)
+}
