--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -46,7 +46,6 @@
 	syncBurst    = 32000 // bytes
 	maxForeign   = 8     // pieces of news from other zones that are spread at a time
 	parts        = 16    // slices of a zone that are compared one by one
-	headerBytes  = 28    // IPv4 and UDP headers of a datagram
 	maxExcepted  = 4     // hosts listed apart in a summary of progress
 	versionShift = 13    // bits of a host's version that count refutations
 )
