settings: check a change in time that grows with the tree, not its square

Cause: the check listed and sorted all services of the tree before for each service of the tree after. Found when a state with 1,800 services took minutes to build; control hosts apply changes in the loop of the log, so one change would have outlasted the election timeout and cost the leader its lease.

--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -35,22 +35,26 @@
 	if bits.OnesCount(uint(buckets)) != 1 {
 		return fault.New(fault.Invalid, "use a power of two", "setting %q of service %q: %d is not a power of two", FlowBuckets, service, buckets)
 	}
-	existed := slices.Contains(before.Services(), service)
-	if existed && before.Int(path, FlowBuckets) != buckets {
+	if before.hasService(service) && before.Int(path, FlowBuckets) != buckets {
 		return fault.New(fault.Invalid, "create another service with the number you want", "setting %q of service %q cannot change: its flows would move", FlowBuckets, service)
 	}
 	return nil
 }
 
+// hasService reports whether the service exists.
+func (t Tree) hasService(service string) bool {
+	_, ok := t.nodes[Path(service)][ServiceZones]
+	return ok
+}
+
 // checkOrphans refuses values below services or zones that do not exist.
 func (t Tree) checkOrphans() error {
-	services := t.Services()
 	for path := range t.nodes {
 		if LevelOf(path) < ServiceLevel {
 			continue
 		}
 		service, zone := splitServiceZone(path)
-		if !slices.Contains(services, service) {
+		if !t.hasService(service) {
 			return fault.New(fault.Invalid, "set service.zones of the service first", "path %q belongs to service %q, which does not exist", path, service)
 		}
 		if zone != "" && !slices.Contains(t.TextList(Path(service), ServiceZones), zone) {
