--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -26,6 +26,7 @@
 	heartbeatInterval = 250 * time.Millisecond
 	tickInterval      = 25 * time.Millisecond
 	proposeTimeout    = 5 * time.Second // for callers that set no deadline
+	forwardTimeout    = time.Second     // for one try at a leader that may have fallen silent
 	retryPause        = 50 * time.Millisecond
 	diskRetryInterval = time.Second
 	foundingPause     = 200 * time.Millisecond
--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -53,6 +53,8 @@
 	done     sync.WaitGroup
 }
 
+var _ Log = (*Host)(nil)
+
 // published is what the loop last told about the log.
 type published struct {
 	at      time.Duration
--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -59,6 +59,8 @@
 		return state.Result{}, err
 	}
 	if addr != h.Addr {
+		ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+		defer cancel()
 		return h.Transport.Propose(ctx, addr, data)
 	}
 	return h.ProposeHere(ctx, data)
--- a/internal/raft/ready.go
+++ b/internal/raft/ready.go
@@ -31,8 +31,8 @@
 	r.Committed = n.log.slice(n.log.applied, min(n.log.commit, n.log.stable+uint64(len(r.Entries))), maxUncommittedBytes)
 	n.install, n.messages, n.readStates = nil, nil, nil
 	r.MustSync = r.HardState.Term != n.saved.Term || r.HardState.Vote != n.saved.Vote || len(r.Entries) > 0 || r.Snapshot != nil
-	any := r.MustSync || len(r.Messages) > 0 || len(r.Committed) > 0 || len(r.ReadStates) > 0
-	return r, any
+	news := r.MustSync || len(r.Messages) > 0 || len(r.Committed) > 0 || len(r.ReadStates) > 0
+	return r, news
 }
 
 // Advance notes that the caller has done what the batch asks for.
