Keep copies of records within the budget of control traffic

Cause: a home could send 320 KB of copies a second after a loss.

Change: copies take 4 KB/s with bursts of 32 KB, buckets in turn.

--- a/internal/route/keeper.go
+++ b/internal/route/keeper.go
@@ -12,8 +12,13 @@
 // copyRetry is the time after which an unanswered copy is sent again.
 const copyRetry = time.Second
 
-// copyBudget is the most bytes of records that one step sends.
-const copyBudget = 32 << 10
+// Bounds on the bytes of copies that a host sends. They keep copies within the
+// budget of control traffic, but let a few buckets be repaired at once.
+const (
+	copyRate     = 4 << 10  // bytes per second
+	copyBurst    = 32 << 10 // bytes
+	copyOverhead = 100      // bytes of a call besides the records
+)
 
 // Copy is a batch of records to send to a backup.
 type Copy struct {
@@ -32,6 +37,9 @@
 	buckets map[BucketID]*watch
 	order   []BucketID
 	pushes  map[BucketID]*copyState // records of a cut that go to another home
+	budget  float64                 // bytes that copies may take now, negative after a large one
+	stepped time.Time               // time of the last step
+	turn    int                     // index in order of the bucket that was looked at last
 }
 
 // watch is what a home knows of one moving bucket.
@@ -60,16 +68,16 @@
 	if v != k.view {
 		k.adopt(now, v)
 	}
+	k.budget += copyRate * now.Sub(k.stepped).Seconds()
+	k.budget = min(k.budget, copyBurst)
+	k.stepped = now
 	out := k.push(now)
-	size := 0
-	for _, id := range k.order {
-		for _, c := range k.due(now, id) {
-			out = append(out, c)
-			size += len(c.Batch.Data)
-		}
-		if size >= copyBudget {
+	for range k.order {
+		if k.budget <= 0 {
 			break
 		}
+		k.turn = (k.turn + 1) % len(k.order)
+		out = append(out, k.due(now, k.order[k.turn])...)
 	}
 	return out
 }
@@ -135,8 +143,10 @@
 }
 
 func (k *Keeper) copyTo(id BucketID, to table.Host) Copy {
+	data := records.Encode(k.export(id))
+	k.budget -= float64(len(data) + copyOverhead)
 	return Copy{ID: id, To: to.Num, Incarnation: to.Incarnation, Batch: records.Batch{
-		Service: id.Service, Bucket: id.Index, Data: records.Encode(k.export(id)),
+		Service: id.Service, Bucket: id.Index, Data: data,
 	}}
 }
 
