--- a/internal/route/bench_test.go
+++ b/internal/route/bench_test.go
@@ -177,3 +177,36 @@
 		}
 	}
 }
+
+// fleetTable returns a table of the given size, with 256 buckets a service.
+func fleetTable(services, backends int) *table.Table {
+	t := &table.Table{
+		ByName: map[string]*table.Service{}, ByAddress: map[table.Endpoint]*table.Service{},
+		Backends: map[table.BackendNum]table.Backend{}, Hosts: map[table.HostNum]table.Host{1: {Num: 1, Name: "host"}},
+	}
+	for i := range services {
+		svc := &table.Service{Name: fmt.Sprint("service-", i), Mask: simBuckets - 1, Buckets: make([]table.Bucket, simBuckets)}
+		t.ByName[svc.Name] = svc
+		t.ByAddress[table.Endpoint{Addr: netip.AddrFrom4([4]byte{203, 0, byte(i >> 8), byte(i)}), Port: 443, Proto: 6}] = svc
+	}
+	for i := range backends {
+		n := table.BackendNum(i + 1)
+		t.Backends[n] = table.Backend{Num: n, Service: fmt.Sprint("service-", i%services), State: "ready"}
+	}
+	return t
+}
+
+// BenchmarkAdopt reports the time that a host takes to put a new table in
+// force: its view, and the buckets whose home it is.
+func BenchmarkAdopt(b *testing.B) {
+	for _, size := range []struct{ services, backends int }{{2, 18}, {81, 450}, {1800, 10000}} {
+		t := fleetTable(size.services, size.backends)
+		r := route.NewRouter(0)
+		k := route.NewKeeper(r, func(string) time.Duration { return time.Hour })
+		b.Run(fmt.Sprint(size.backends), func(b *testing.B) {
+			for b.Loop() {
+				k.Step(time.Unix(0, 0), route.NewView(t, "host", r))
+			}
+		})
+	}
+}
