Send the records of a cut once to each home

Cause: while a cut heals, a host marked buckets again at each step and sent their records each time: 18,921 bytes of record traffic a second and host at 85,000 flows and 20 hosts.

Change: a bucket that its home has acknowledged is not sent again.

--- a/internal/route/keeper.go
+++ b/internal/route/keeper.go
@@ -117,10 +117,16 @@
 			continue
 		}
 		p := k.pushes[id]
-		if p == nil {
-			p = &copyState{}
+		if p == nil || p.incarnation != host.Incarnation {
+			p = &copyState{incarnation: host.Incarnation}
 			k.pushes[id] = p
 		}
+		// While a cut heals no record is added but through the homes, so
+		// that one copy of each bucket is enough.
+		if !p.acked.IsZero() && now.Sub(p.acked) < 2*HealDelay {
+			k.router.kept.remove(id)
+			continue
+		}
 		if now.Sub(p.sent) < copyRetry {
 			continue
 		}
@@ -204,8 +210,8 @@
 
 // Acked notes that a copy has arrived.
 func (k *Keeper) Acked(now time.Time, c Copy) {
-	if p := k.pushes[c.ID]; p != nil {
-		delete(k.pushes, c.ID)
+	if p := k.pushes[c.ID]; p != nil && p.incarnation == c.Incarnation {
+		p.acked = now
 		k.router.kept.remove(c.ID)
 	}
 	w := k.buckets[c.ID]
