--- a/internal/route/stalls.go
+++ b/internal/route/stalls.go
@@ -9,7 +9,7 @@
 
 // Sizes of the stall detection.
 const (
-	stallSlots = 1 << 14
+	stallSlots = 1 << 17
 	stallLocks = 64
 	// minStallPayload leaves out keep-alives and window probes, which repeat
 	// one byte on a healthy flow.
