Look up settings of a backend server without building its path

Cause: each round built a path for each backend server.

Change: the cache is keyed by service, zone and id.

--- a/internal/place/bench_test.go
+++ b/internal/place/bench_test.go
@@ -29,8 +29,8 @@
 	return w
 }
 
-// BenchmarkNext gives the time to compute a delta when nothing has changed and
-// when one backend server drains.
+// BenchmarkNext gives the time to compute a delta when nothing has changed,
+// when one backend server drains, and while a tenth of the buckets move.
 func BenchmarkNext(b *testing.B) {
 	for _, size := range []struct{ services, backends, hosts int }{{2, 18, 20}, {80, 450, 60}, {1800, 10000, 1400}} {
 		w := sized(size.services, size.backends, size.hosts, 256)
@@ -49,5 +49,17 @@
 			}
 			b.ReportMetric(float64(moved), "buckets")
 		})
+		for i := range w.backends {
+			if i%10 == 0 {
+				w.backends[i].State = model.Draining
+			}
+		}
+		w.run(time.Second)
+		b.Run(fmt.Sprintf("a tenth moves/%d", size.backends), func(b *testing.B) {
+			in := w.input()
+			for b.Loop() {
+				w.planner.Next(in)
+			}
+		})
 	}
 }
--- a/internal/place/config.go
+++ b/internal/place/config.go
@@ -24,6 +24,9 @@
 	ramp   time.Duration
 }
 
+// backendPlace is the node of a backend server in the tree of settings.
+type backendPlace struct{ service, zone, id string }
+
 // configCache keeps decoded settings until the tree changes.
 type configCache struct {
 	valid     bool
@@ -31,7 +34,7 @@
 	tree      settings.Tree
 	services  []string
 	byService map[string]serviceConfig
-	byBackend map[string]backendConfig // by path
+	byBackend map[backendPlace]backendConfig
 }
 
 func (c *configCache) refresh(t settings.Tree, revision uint64) {
@@ -44,7 +47,7 @@
 		tree:      t,
 		services:  t.Services(),
 		byService: map[string]serviceConfig{},
-		byBackend: map[string]backendConfig{},
+		byBackend: map[backendPlace]backendConfig{},
 	}
 	for _, name := range c.services {
 		path := settings.Path(name)
@@ -63,10 +66,11 @@
 }
 
 func (c *configCache) backend(b table.Backend) backendConfig {
-	path := settings.Path(b.Service, b.Zone, b.ID)
-	if cfg, ok := c.byBackend[path]; ok {
+	key := backendPlace{b.Service, b.Zone, b.ID}
+	if cfg, ok := c.byBackend[key]; ok {
 		return cfg
 	}
+	path := settings.Path(b.Service, b.Zone, b.ID)
 	value, err := c.tree.Effective(path, settings.BackendWeight)
 	cfg := backendConfig{
 		drain:  c.tree.Bool(path, settings.BackendDrain),
@@ -74,7 +78,7 @@
 		own:    err == nil && value.Origin == path,
 		ramp:   c.tree.Duration(path, settings.BackendRamp),
 	}
-	c.byBackend[path] = cfg
+	c.byBackend[key] = cfg
 	return cfg
 }
 
--- a/internal/place/round.go
+++ b/internal/place/round.go
@@ -51,6 +51,7 @@
 	r := &round{
 		planner:  p,
 		in:       in,
+		members:  make([]*member, 0, in.Current.NextNum),
 		delta:    table.Delta{Base: in.Current.Revision, NextNum: in.Current.NextNum},
 		services: map[string][]*member{},
 		hosts:    map[table.HostNum]*hostView{},
