Spread homes by the packets they take, backups by the records they keep

Change: a home goes to the host with the fewest homes, a backup to the one with the fewest roles; of two synced backups the one with fewer homes follows.

Ruled out: handing homes over only for evenness, as the watch of the bucket starts anew at another home and the move would last longer.

--- a/internal/place/homes.go
+++ b/internal/place/homes.go
@@ -36,9 +36,14 @@
 
 // note counts the roles that a bucket gives to hosts.
 func (c *homeChooser) note(b *table.Bucket, by int) {
-	for _, n := range roles(b) {
-		if h := c.hosts[n]; h != nil {
-			h.load += by
+	for i, n := range roles(b) {
+		h := c.hosts[n]
+		if h == nil {
+			continue
+		}
+		h.roles += by
+		if i == 0 {
+			h.homes += by
 		}
 	}
 }
@@ -47,19 +52,34 @@
 // backup comes last and is not synced.
 func (c *homeChooser) fill(b *table.Bucket, key uint64) {
 	if b.Home == 0 {
-		b.Home = c.choose(b, key)
+		b.Home = c.choose(b, key, fewerHomes)
+		c.noteHome(b.Home)
 	}
 	for i := range b.Backups {
 		if b.Backups[i] == 0 && b.Home != 0 {
-			b.Backups[i] = c.choose(b, key+uint64(i)+1)
+			b.Backups[i] = c.choose(b, key+uint64(i)+1, fewerRoles)
 			b.Synced &^= 1 << i
 		}
 	}
 }
 
+func (c *homeChooser) noteHome(n table.HostNum) {
+	if h := c.hosts[n]; h != nil {
+		h.homes++
+	}
+}
+
+// fewerHomes compares the relayed packets that hosts take.
+func fewerHomes(a, b *hostView) bool {
+	return a.homes < b.homes || a.homes == b.homes && a.roles < b.roles
+}
+
+// fewerRoles compares the records that hosts keep.
+func fewerRoles(a, b *hostView) bool { return a.roles < b.roles }
+
 // choose returns the best of a few hosts that have no role in the bucket: one
-// in a zone of its own first, the one with fewest roles next.
-func (c *homeChooser) choose(b *table.Bucket, key uint64) table.HostNum {
+// in a zone of its own first, the one with less to do next.
+func (c *homeChooser) choose(b *table.Bucket, key uint64, less func(a, b *hostView) bool) table.HostNum {
 	var best *hostView
 	bestShared := 0
 	start := int(mix(key) % uint64(max(1, len(c.fit))))
@@ -69,7 +89,7 @@
 			continue
 		}
 		shared := c.sharedZones(b, h.Zone)
-		if best == nil || shared < bestShared || shared == bestShared && h.load < best.load {
+		if best == nil || shared < bestShared || shared == bestShared && less(h, best) {
 			best, bestShared = h, shared
 		}
 		if i >= homeProbes && bestShared == 0 || i >= maxProbes {
@@ -79,7 +99,7 @@
 	if best == nil {
 		return 0
 	}
-	best.load++
+	best.roles++
 	return best.Num
 }
 
@@ -145,7 +165,7 @@
 	b.Backups, b.Synced = kept.Backups, kept.Synced
 }
 
-// promote makes the synced backup with the fewest roles the home. Without one,
+// promote makes the synced backup with the fewest homes the home. Without one,
 // a home that is leaving stays until there is, and a lost home is followed by
 // the first backup, which has the records that reached it. The new home has
 // yet to confirm what the other backup holds.
@@ -155,7 +175,7 @@
 		if num == 0 || !b.IsSynced(i) {
 			continue
 		}
-		if best < 0 || c.hosts[num].load < c.hosts[b.Backups[best]].load {
+		if best < 0 || fewerHomes(c.hosts[num], c.hosts[b.Backups[best]]) {
 			best = i
 		}
 	}
--- a/internal/place/hosts.go
+++ b/internal/place/hosts.go
@@ -15,7 +15,8 @@
 	keeps   bool // still has the records it had
 	leaving bool // hands its records over
 	fit     bool // may take records
-	load    int  // buckets whose home or backup it is
+	homes   int  // buckets whose home it is
+	roles   int  // buckets whose home or backup it is
 }
 
 // planHosts brings the entry hosts of the placement in step with the members.
