--- a/internal/table/bucket.go
+++ b/internal/table/bucket.go
@@ -38,17 +38,16 @@
 // Its stored form has short keys, as changed buckets are most of what the
 // placement sends to hosts.
 type Bucket struct {
+	// Since is the revision at which Phase, Home, target or fallback changed.
+	Since uint64 `cbor:"4,keyasint,omitempty"`
 	// Candidates are the backend servers that may have flows of the bucket,
 	// oldest first, each once, 0 where unused.
 	Candidates [MaxCandidates]BackendNum `cbor:"1,keyasint"`
 	// Home records the flows of a moving bucket. It is 0 if no entry host can.
 	Home HostNum `cbor:"2,keyasint,omitempty"`
-	// Backups hold copies of the records, first the one that becomes the home
-	// next, 0 where unused.
+	// Backups hold copies of the records, 0 where unused.
 	Backups [MaxBackups]HostNum `cbor:"3,keyasint"`
-	// Since is the revision at which Phase, Home, target or fallback changed.
-	Since uint64 `cbor:"4,keyasint,omitempty"`
-	Phase Phase  `cbor:"5,keyasint,omitempty"`
+	Phase   Phase               `cbor:"5,keyasint,omitempty"`
 	// Target is the index of the candidate that takes new flows.
 	Target uint8 `cbor:"6,keyasint,omitempty"`
 	// Fallback is the index of the candidate that has the flows of which no
