Report counts of flows only when they tell something

Cause: entry hosts reported each second also when nothing had changed, and a new leader could have corrected load by the counts of some hosts alone.

Change: a report without statuses is sent every 5 s, or every 30 s while its counts are the same; the planner gets no counts until each host has reported.

--- a/internal/daemon/placement.go
+++ b/internal/daemon/placement.go
@@ -99,7 +99,7 @@
 		}
 	}
 	in.Statuses = d.reports.statuses(now)
-	in.Flows = d.reports.openFlows(in.Current.Backends)
+	in.Flows = d.reports.openFlows(in.Hosts, in.Current.Backends)
 	return in
 }
 
--- a/internal/daemon/reports.go
+++ b/internal/daemon/reports.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"greengagequay/internal/place"
 	"greengagequay/internal/records"
 	"greengagequay/internal/table"
 )
@@ -13,8 +14,10 @@
 // Reports of entry hosts about flows.
 const (
 	flowReportInterval = time.Second
-	flowReportLease    = 5 * time.Second // an older report does not count
-	maxReportStatuses  = 256             // buckets in one report, the others follow
+	flowReportLease    = 5 * time.Second // statuses of an older report do not count
+	countInterval      = 5 * time.Second // between reports of counts alone
+	sameCountInterval  = 30 * time.Second
+	maxReportStatuses  = 256 // buckets in one report, the others follow
 )
 
 // EntryReport is what an entry host tells the leading control host.
@@ -77,10 +80,16 @@
 }
 
 // openFlows returns the open flows of each backend server since its start, as
-// counted by all entry hosts.
-func (r *flowReports) openFlows(backends map[table.BackendNum]table.Backend) map[table.BackendNum]float64 {
+// counted by all entry hosts. It returns nil until each of the hosts has
+// reported, since a part of the counts has no meaning.
+func (r *flowReports) openFlows(hosts []place.Host, backends map[table.BackendNum]table.Backend) map[table.BackendNum]float64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	for _, h := range hosts {
+		if _, ok := r.last[h.Name]; !ok && !h.LeaseOut {
+			return nil
+		}
+	}
 	sums := maps.Clone(r.ended)
 	for _, report := range r.last {
 		add(sums, report.Flows)
@@ -119,26 +128,48 @@
 	return nil
 }
 
+// sentReport is the last report that a control host took from this one.
+type sentReport struct {
+	leader string
+	flows  map[table.BackendNum]int64
+	at     time.Time
+}
+
+// suffices reports whether the control host needs no other report now: it has
+// nothing to decide about buckets, and its counts are the same or recent.
+func (s sentReport) suffices(leader string, r EntryReport, now time.Time) bool {
+	if s.leader != leader || len(r.Statuses) > 0 {
+		return false
+	}
+	age := now.Sub(s.at)
+	return age < countInterval || age < sameCountInterval && maps.Equal(s.flows, r.Flows)
+}
+
 // reportFlows tells the leading control host what this entry host knows about
 // flows.
 func (d *Daemon) reportFlows(ctx context.Context) {
+	var sent sentReport
 	for ctx.Err() == nil {
 		d.pause(ctx, flowReportInterval)
 		leader := d.Leader()
-		if leader == "" {
-			continue
-		}
 		report := EntryReport{
 			Host:        d.Config.Name,
 			Incarnation: d.incarnation,
 			Statuses:    worthTelling(d.Replica.Table(), d.flows.report().Buckets),
 			Flows:       d.flows.forwarder.OpenFlows(),
 		}
+		now := d.clock.Now()
+		if leader == "" || sent.suffices(leader, report, now) {
+			continue
+		}
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		if err := d.client.Call(callCtx, leader, "Placement.Report", report, &struct{}{}); err != nil {
+		err := d.client.Call(callCtx, leader, "Placement.Report", report, &struct{}{})
+		cancel()
+		if err != nil {
 			d.logs.Part("placement").Debugf("report to %s: %v", leader, err)
+			continue
 		}
-		cancel()
+		sent = sentReport{leader: leader, flows: report.Flows, at: now}
 	}
 }
 
--- a/internal/daemon/reports_test.go
+++ b/internal/daemon/reports_test.go
@@ -6,6 +6,8 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"greengagequay/internal/model"
+	"greengagequay/internal/place"
 	"greengagequay/internal/records"
 	"greengagequay/internal/table"
 )
@@ -22,20 +24,22 @@
 	c := qt.New(t)
 	now := time.Unix(1000, 0)
 	backends := map[table.BackendNum]table.Backend{1: {Num: 1, Incarnation: 1}, 2: {Num: 2, Incarnation: 1}}
+	hosts := []place.Host{{Host: model.Host{Name: "a"}}, {Host: model.Host{Name: "b"}}, {Host: model.Host{Name: "c"}, LeaseOut: true}}
 	var r flowReports
 	r.take(report("a", 1, 10, 5), now)
+	c.Assert(r.openFlows(hosts, backends), qt.IsNil, qt.Commentf("b has not reported"))
 	r.take(report("b", 1, -3, 2), now)
-	c.Assert(r.openFlows(backends), qt.DeepEquals, map[table.BackendNum]float64{1: 7, 2: 7})
+	c.Assert(r.openFlows(hosts, backends), qt.DeepEquals, map[table.BackendNum]float64{1: 7, 2: 7})
 
 	r.take(report("a", 2, 1), now) // restarted: what it counted before still holds
-	c.Assert(r.openFlows(backends), qt.DeepEquals, map[table.BackendNum]float64{1: 8, 2: 7})
+	c.Assert(r.openFlows(hosts, backends), qt.DeepEquals, map[table.BackendNum]float64{1: 8, 2: 7})
 	r.take(report("a", 1, 100, 100), now) // late, from the process before
-	c.Assert(r.openFlows(backends), qt.DeepEquals, map[table.BackendNum]float64{1: 8, 2: 7})
+	c.Assert(r.openFlows(hosts, backends), qt.DeepEquals, map[table.BackendNum]float64{1: 8, 2: 7})
 
 	backends[1] = table.Backend{Num: 1, Incarnation: 2} // its flows are lost
-	c.Assert(r.openFlows(backends), qt.DeepEquals, map[table.BackendNum]float64{1: 0, 2: 7})
+	c.Assert(r.openFlows(hosts, backends), qt.DeepEquals, map[table.BackendNum]float64{1: 0, 2: 7})
 	r.take(report("b", 1, 1, 2), now)
-	c.Assert(r.openFlows(backends), qt.DeepEquals, map[table.BackendNum]float64{1: 4, 2: 7})
+	c.Assert(r.openFlows(hosts, backends), qt.DeepEquals, map[table.BackendNum]float64{1: 4, 2: 7})
 }
 
 func TestOldStatusesDoNotCount(t *testing.T) {
@@ -61,3 +65,17 @@
 	})
 	c.Assert(got, qt.HasLen, 2)
 }
+
+func TestReportsAreSentOnlyWhenTheyTellSomething(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	same, other := report("a", 1, 5), report("a", 1, 6)
+	sent := sentReport{leader: "l", flows: same.Flows, at: now}
+	c.Assert(sent.suffices("l", other, now.Add(countInterval-1)), qt.IsTrue)
+	c.Assert(sent.suffices("l", other, now.Add(countInterval)), qt.IsFalse)
+	c.Assert(sent.suffices("l", same, now.Add(sameCountInterval-1)), qt.IsTrue)
+	c.Assert(sent.suffices("l", same, now.Add(sameCountInterval)), qt.IsFalse)
+	c.Assert(sent.suffices("another", same, now), qt.IsFalse)
+	same.Statuses = []records.BucketStatus{{Done: true}}
+	c.Assert(sent.suffices("l", same, now), qt.IsFalse)
+}
