Forget the load of backend servers that take no new flows

Cause: the planner kept a factor and a claim for every backend server that it had ever seen, so that memory grew with each new id.

Change: both are dropped once a backend server takes no new flows.

--- a/internal/place/advance.go
+++ b/internal/place/advance.go
@@ -21,7 +21,9 @@
 			continue
 		}
 		b := s.advance(i, s.buckets[i])
-		s.stepped[i] = b.Phase != s.buckets[i].Phase
+		if b.Phase != s.buckets[i].Phase {
+			s.stepped[i] = true
+		}
 		s.set(i, b)
 	}
 }
--- a/internal/place/load.go
+++ b/internal/place/load.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -76,6 +77,7 @@
 	}
 	usable := s.usableMembers()
 	if bal.due(len(usable), s.r.in.Now) {
+		bal.forgetOthers(usable)
 		bal.evaluate(usable, s.r.in.Flows, s.cfg.imbalance)
 		bal.judgeClaims(usable, s.r.in.Now)
 	}
@@ -97,6 +99,16 @@
 	return true
 }
 
+// forgetOthers drops what is known of backend servers that take no new flows.
+func (b *balance) forgetOthers(members []*member) {
+	stays := make(map[table.BackendNum]bool, len(members))
+	for _, m := range members {
+		stays[m.Num] = true
+	}
+	maps.DeleteFunc(b.factors, func(n table.BackendNum, _ float64) bool { return !stays[n] })
+	maps.DeleteFunc(b.claims, func(n table.BackendNum, _ claim) bool { return !stays[n] })
+}
+
 func (s *servicePlan) usableMembers() []*member {
 	var list []*member
 	for _, m := range s.members {
