--- a/internal/daemon/requests.go
+++ b/internal/daemon/requests.go
@@ -50,3 +50,7 @@
 		d.pause(ctx, flowInterval)
 	}
 }
+
+// Ready reports whether this host serves the slots and once-only records whose
+// home it is.
+func (d *Daemon) Ready() bool { return d.homes == nil || d.homes.Ready() }
--- a/internal/homes/leave.go
+++ b/internal/homes/leave.go
@@ -1,5 +1,37 @@
 package homes
 
+import "greengagequay/internal/fence"
+
+// Ready reports whether this host serves every unit whose home it is.
+func (h *Homes) Ready() bool {
+	v := h.view()
+	if v.process(h.Name) != h.self {
+		return false
+	}
+	for _, b := range v.table.Backends {
+		if v.slotHome(b) != h.Name {
+			continue
+		}
+		u := h.slotsOf(slotUnitOf(b))
+		u.mu.Lock()
+		serves := u.core.Serves(v.now)
+		u.mu.Unlock()
+		if !serves {
+			return false
+		}
+	}
+	for _, u := range h.shards {
+		home, _ := fence.Pair(u.name, v.members)
+		u.mu.Lock()
+		serves := u.core.Serves(v.now)
+		u.mu.Unlock()
+		if home.Name == h.Name && !serves {
+			return false
+		}
+	}
+	return true
+}
+
 // HandedOver reports whether other hosts have taken over every unit whose home
 // this host was, or there is no other host.
 func (h *Homes) HandedOver() bool {
--- a/internal/homes/tick.go
+++ b/internal/homes/tick.go
@@ -16,6 +16,11 @@
 	"greengagequay/internal/table"
 )
 
+// keyLease is how long the home of a shard permits requests after its state
+// was last known to be current. A quiet system confirms a state only each time
+// a pull ends, at each level of the tree of sources.
+const keyLease = 20 * time.Second
+
 // maxShardRecords bounds the records of one shard.
 const maxShardRecords = 4096
 
@@ -262,7 +267,7 @@
 	pair := v.process(home.Name) + " " + v.process(backup.Name)
 	if !u.core.Stands() || u.pair != pair {
 		former := hostOf(u.core.Home())
-		if u.core.Claim(fence.Epoch(v.table.Revision), withFormer(v.names(), former), v.first(h.Replica), oncekey.Params{Retention: retention, MaxRecords: maxShardRecords}) {
+		if u.core.Claim(fence.Epoch(v.table.Revision), withFormer(v.names(), former), v.first(h.Replica), oncekey.Params{Retention: retention, Lease: keyLease, MaxRecords: maxShardRecords}) {
 			u.former, u.claimed, u.pair, u.backup = former, v.now, pair, backup.Name
 		}
 	}
--- /dev/null
+++ b/internal/load/load.go
@@ -0,0 +1,264 @@
+// Package load drives a small system on loopback with open-loop arrivals of
+// requests, and reports outcomes, latency and balance. Latency counts from the
+// time at which a request was due, so a slow system cannot hide it by delaying
+// the arrivals.
+package load
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"greengagequay/internal/emulator"
+	"greengagequay/internal/request"
+	"greengagequay/internal/standin"
+)
+
+// Options of a run.
+type Options struct {
+	Rate      float64       // requests per second
+	Duration  time.Duration // of the arrivals
+	Hosts     int           // entry hosts in each of two zones
+	Backends  int
+	Slots     int
+	Service   time.Duration // mean service time
+	Customers int
+	Uploads   float64 // share of requests that upload
+	Keys      float64 // share of requests that may run once
+	Timeout   time.Duration
+	Seed      uint64
+}
+
+// Report is what the callers and the backend servers saw.
+type Report struct {
+	Offered       int                `json:"offered"`
+	Outcomes      map[string]int     `json:"outcomes"`
+	Latency       map[string]Latency `json:"latencyByClass"`
+	Imbalance     float64            `json:"requestsMaxOverMean"`
+	SlotsExceeded int                `json:"slotsExceeded"`
+	KeysRunTwice  int                `json:"keysRunTwice"`
+	WrongAnswers  int                `json:"wrongAnswers"`
+	Curve         []Point            `json:"curve"` // of all answered requests
+}
+
+// Latency is a distribution of times in milliseconds.
+type Latency struct {
+	Count  int64   `json:"count"`
+	Median float64 `json:"median"`
+	P99    float64 `json:"p99"`
+	Max    float64 `json:"max"`
+}
+
+// Point is one point of a cumulative distribution.
+type Point struct {
+	Percent      float64 `json:"percent"`
+	Milliseconds float64 `json:"milliseconds"`
+}
+
+// Classes of requests.
+const (
+	order  = "order"
+	upload = "upload"
+)
+
+const (
+	service    = "pantanir"
+	uploadSize = 256 << 10 // bytes
+	maxLatency = 5 * time.Minute
+)
+
+// arrival is one request that is due.
+type arrival struct {
+	n        int
+	at       time.Duration // after the start
+	customer string
+	class    string
+	key      string
+	host     int
+}
+
+// run is one run in progress.
+type run struct {
+	Options
+	fleet  *emulator.Fleet
+	mu     sync.Mutex
+	report Report
+	times  map[string]*hdrhistogram.Histogram
+	all    *hdrhistogram.Histogram
+}
+
+// Run starts a system, drives it and returns the report.
+func Run(ctx context.Context, o Options) (Report, error) {
+	f, err := startFleet(ctx, o)
+	if err != nil {
+		return Report{}, err
+	}
+	defer f.Close()
+	r := &run{Options: o, fleet: f, all: newHistogram(), times: map[string]*hdrhistogram.Histogram{order: newHistogram(), upload: newHistogram()}}
+	r.report = Report{Outcomes: map[string]int{}, Latency: map[string]Latency{}}
+	r.drive(ctx, arrivals(o))
+	r.summarize()
+	return r.report, nil
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, maxLatency.Microseconds(), 3)
+}
+
+func startFleet(ctx context.Context, o Options) (*emulator.Fleet, error) {
+	var hosts []emulator.HostSpec
+	for i := range 2 * o.Hosts {
+		zone := []string{"rvk-a", "rvk-b"}[i%2]
+		hosts = append(hosts, emulator.HostSpec{Name: fmt.Sprintf("%s-%d", zone, i/2+1), Zone: zone, Control: i == 0})
+	}
+	spec := emulator.ServiceSpec{Name: service, Address: netip.MustParseAddrPort("203.0.113.10:443"), Backends: o.Backends, Slots: o.Slots}
+	f, err := emulator.Start(hosts, []emulator.ServiceSpec{spec}, netip.MustParseAddrPort("127.0.0.1:9"))
+	if err != nil {
+		return nil, err
+	}
+	if err := f.CreateServices(ctx, 0); err != nil {
+		f.Close()
+		return nil, err
+	}
+	if err := f.WaitPlaced(ctx); err != nil {
+		f.Close()
+		return nil, err
+	}
+	if err := f.WaitFor(ctx, func() bool { return allReady(f) }); err != nil {
+		f.Close()
+		return nil, err
+	}
+	for i, b := range f.Backends {
+		b.HTTP.Behave(standin.Behavior{Delay: o.Service, Seed: o.Seed + uint64(i)})
+	}
+	return f, nil
+}
+
+func allReady(f *emulator.Fleet) bool {
+	for _, i := range f.Running() {
+		if !f.Host(i).Ready() {
+			return false
+		}
+	}
+	return true
+}
+
+// arrivals draws the whole run from the seed.
+func arrivals(o Options) []arrival {
+	chance := rand.New(rand.NewPCG(o.Seed, 5))
+	var list []arrival
+	for at := time.Duration(0); ; {
+		at += time.Duration(chance.ExpFloat64() / o.Rate * float64(time.Second))
+		if at > o.Duration {
+			return list
+		}
+		a := arrival{n: len(list), at: at, class: order, host: chance.IntN(2 * o.Hosts)}
+		a.customer = fmt.Sprintf("customer-%d", chance.IntN(o.Customers))
+		if chance.Float64() < o.Uploads {
+			a.class = upload
+		}
+		if chance.Float64() < o.Keys {
+			a.key = fmt.Sprintf("key-%d", a.n)
+		}
+		list = append(list, a)
+	}
+}
+
+func (r *run) drive(ctx context.Context, list []arrival) {
+	start := time.Now()
+	var callers sync.WaitGroup
+	for _, a := range list {
+		time.Sleep(time.Until(start.Add(a.at)))
+		callers.Add(1)
+		go func() {
+			defer callers.Done()
+			outcome, right := r.send(ctx, a)
+			r.note(a, outcome, right, time.Since(start)-a.at)
+		}()
+	}
+	callers.Wait()
+	r.report.Offered = len(list)
+}
+
+// send returns the outcome of a request, and whether an answer is its own.
+func (r *run) send(ctx context.Context, a arrival) (outcome string, right bool) {
+	path := fmt.Sprintf("/%s/%d", a.class, a.n)
+	size := 64
+	if a.class == upload {
+		size = uploadSize
+	}
+	url := "http://" + r.fleet.Host(a.host).Config.Requests + path
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(strings.Repeat("x", size)))
+	if err != nil {
+		return "failed", true
+	}
+	req.Header.Set(request.HeaderService, service)
+	req.Header.Set(request.HeaderCustomer, a.customer)
+	req.Header.Set(request.HeaderClass, a.class)
+	req.Header.Set(request.HeaderTimeout, r.Timeout.String())
+	if a.key != "" {
+		req.Header.Set(request.HeaderKey, a.key)
+		req.Header.Set(request.HeaderKeyTime, time.Now().Format(time.RFC3339Nano))
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return "failed", true
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return "failed", true
+	}
+	outcome = resp.Header.Get(request.HeaderOutcome)
+	return outcome, outcome != request.Answered || string(body) == fmt.Sprintf("%s %s %d\n", service, path, size)
+}
+
+func (r *run) note(a arrival, outcome string, right bool, took time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.report.Outcomes[outcome]++
+	if !right {
+		r.report.WrongAnswers++
+	}
+	if outcome == request.Answered {
+		_ = r.times[a.class].RecordValue(took.Microseconds())
+		_ = r.all.RecordValue(took.Microseconds())
+	}
+}
+
+func (r *run) summarize() {
+	for class, h := range r.times {
+		r.report.Latency[class] = Latency{Count: h.TotalCount(), Median: millis(h.ValueAtQuantile(50)), P99: millis(h.ValueAtQuantile(99)), Max: millis(h.Max())}
+	}
+	for _, b := range r.all.CumulativeDistribution() {
+		r.report.Curve = append(r.report.Curve, Point{Percent: b.Quantile, Milliseconds: millis(b.ValueAt)})
+	}
+	most, total := 0, 0
+	runs := map[string]int{}
+	for _, b := range r.fleet.Backends {
+		c := b.HTTP.Counts()
+		r.report.SlotsExceeded += c.Exceeded
+		most, total = max(most, c.Total), total+c.Total
+		for key, n := range c.Runs {
+			runs[key] += n
+		}
+	}
+	if total > 0 {
+		r.report.Imbalance = float64(most*len(r.fleet.Backends)) / float64(total)
+	}
+	for _, n := range runs {
+		if n > 1 {
+			r.report.KeysRunTwice++
+		}
+	}
+}
+
+func millis(micros int64) float64 { return float64(micros) / 1000 }
--- a/internal/oncekey/core.go
+++ b/internal/oncekey/core.go
@@ -182,7 +182,7 @@
 // the clock that checked it by MaxSkew, and that clock ahead of this one.
 func (c *Core) floorOf(v fence.Verdict, served fence.Epoch, now time.Time) Floor {
 	if v == fence.Lost {
-		return Floor{Time: now.Add(2*MaxSkew + LeaseTerm), Epoch: c.home.epoch}
+		return Floor{Time: now.Add(2*MaxSkew + c.home.params.Lease), Epoch: c.home.epoch}
 	}
 	var floor Floor
 	for _, r := range c.home.reports {
--- a/internal/oncekey/core_test.go
+++ b/internal/oncekey/core_test.go
@@ -11,6 +11,8 @@
 	"greengagequay/internal/fence"
 )
 
+const lease = 2 * time.Second
+
 var seeds = flag.Int("seeds", 4, "seeds of the driven test")
 
 // TestNoKeyRunsTwice sends each key to two hosts at once and again later,
@@ -113,11 +115,11 @@
 // openHome returns a home without a backup, whose predecessor was lost.
 func openHome(c *qt.C, now time.Time) (*Core, time.Time) {
 	core := New("h/1", 1)
-	core.Claim(1, []string{"h"}, nil, Params{Retention: time.Minute, MaxRecords: 2})
+	core.Claim(1, []string{"h"}, nil, Params{Retention: time.Minute, Lease: lease, MaxRecords: 2})
 	r, _ := core.Fence(fence.Mark{Epoch: 1, Home: "h/1"}, now)
 	core.Reported("h", 1, r, now)
 	c.Assert(core.Open(1, now), qt.IsFalse)
-	now = now.Add(LeaseTerm)
+	now = now.Add(lease)
 	c.Assert(core.Open(1, now), qt.IsTrue)
 	core.Renew(now)
 	return core, now
--- a/internal/oncekey/messages.go
+++ b/internal/oncekey/messages.go
@@ -17,10 +17,6 @@
 // tolerate.
 const MaxSkew = 5 * time.Second
 
-// LeaseTerm is how long a home may permit requests after its state was
-// confirmed as current.
-const LeaseTerm = 2 * time.Second
-
 // shards is the number of shards.
 const shards = 64
 
@@ -120,5 +116,6 @@
 // Params are the limits of a shard.
 type Params struct {
 	Retention  time.Duration // how long a record is kept
+	Lease      time.Duration // how long a home permits requests after its state was current
 	MaxRecords int
 }
--- a/internal/oncekey/serve.go
+++ b/internal/oncekey/serve.go
@@ -43,7 +43,7 @@
 	if c.home == nil || c.home.epoch != e || !c.home.gathered {
 		return false
 	}
-	if c.home.lost && now.Before(c.home.decided.Add(LeaseTerm)) {
+	if c.home.lost && now.Before(c.home.decided.Add(c.home.params.Lease)) {
 		return false
 	}
 	c.home.open = true
@@ -60,11 +60,11 @@
 	}
 }
 
-// Renew extends the lease under which this host permits requests. asked is
-// when the host asked for the state that confirmed it as the home.
-func (c *Core) Renew(asked time.Time) {
+// Renew extends the lease under which this host permits requests. current is
+// when the state that names this host as the home was last known to be current.
+func (c *Core) Renew(current time.Time) {
 	if c.home != nil {
-		c.home.lease = asked.Add(LeaseTerm)
+		c.home.lease = current.Add(c.home.params.Lease)
 	}
 }
 
@@ -104,10 +104,15 @@
 	return true
 }
 
+// Serves reports whether this host permits requests as the shard's home.
+func (c *Core) Serves(now time.Time) bool {
+	return c.home != nil && c.home.open && now.Before(c.home.lease)
+}
+
 // Begin decides whether a request may run. After Run the caller of Begin must
 // copy the record to the backup before it passes the permission on.
 func (c *Core) Begin(b Begin, now time.Time) Decision {
-	if c.home == nil || !c.home.open || !now.Before(c.home.lease) {
+	if !c.Serves(now) {
 		return Decision{Verdict: NotHome}
 	}
 	if e, ok := c.records[b.Key]; ok {
--- a/internal/oncekey/world_test.go
+++ b/internal/oncekey/world_test.go
@@ -217,7 +217,7 @@
 		hosts = append(hosts, m.name)
 	}
 	if pair := home.process + backup.process; !n.core.Stands() || n.pair != pair {
-		if n.core.Claim(fence.Epoch(n.rev), hosts, w.first(n.rev), Params{Retention: time.Hour, MaxRecords: 1e6}) {
+		if n.core.Claim(fence.Epoch(n.rev), hosts, w.first(n.rev), Params{Retention: time.Hour, Lease: lease, MaxRecords: 1e6}) {
 			n.pair, n.backup = pair, backup.name
 		}
 	}
--- a/internal/slots/core.go
+++ b/internal/slots/core.go
@@ -221,3 +221,6 @@
 
 // Idle reports whether the core holds nothing that a home may need.
 func (c *Core) Idle() bool { return c.home == nil && len(c.running) == 0 }
+
+// Serves reports whether this host grants slots as their home.
+func (c *Core) Serves(now time.Time) bool { return c.home != nil && c.home.mayGrant(now) }
