Ask again for permission while a record's home moves

A keyed request waits up to 5 s for a home that moves in place of a refusal; an attempt that asks again gets its own permission again, since it has not been sent.

--- a/internal/homes/once.go
+++ b/internal/homes/once.go
@@ -10,6 +10,9 @@
 	"greengagequay/internal/state"
 )
 
+// moveWait is how long a request waits for a home that moves.
+const moveWait = 5 * time.Second
+
 // finishTries is how often an answer is brought to the record's home.
 const finishTries = 5
 
@@ -137,15 +140,12 @@
 func (h *Homes) Begin(ctx context.Context, service, key string, made, deadline time.Time) (*Once, oncekey.Decision) {
 	key = service + "\x00" + key
 	u := h.shardOf(oncekey.ShardOf(key))
-	home, _ := fence.Pair(u.name, h.view().members)
 	o := &Once{h: h, unit: u, key: key, attempt: h.nextAttempt()}
-	args := BeginArgs{Unit: u.name, Service: service, Begin: oncekey.Begin{Key: key, Attempt: o.attempt, Runner: h.self, Remaining: deadline.Sub(h.Clock.Now()), Made: made}}
-	var d oncekey.Decision
-	if err := h.call(ctx, home.Name, "Begin", args, &d); err != nil {
-		h.background(func(context.Context) { o.finish(FinishArgs{Abort: true}) })
-		return nil, oncekey.Decision{Verdict: oncekey.NotHome}
-	}
+	d, asked := o.ask(ctx, service, made, deadline)
 	if d.Verdict != oncekey.Run {
+		if asked {
+			h.background(func(context.Context) { o.finish(FinishArgs{Abort: true}) })
+		}
 		return nil, d
 	}
 	now := h.Clock.Now()
@@ -160,6 +160,33 @@
 	return o, d
 }
 
+// ask asks the shard's home until there is one that decides, or for as long as
+// a home takes to move. asked reports that a call failed after which a home
+// may hold a record of the attempt.
+func (o *Once) ask(ctx context.Context, service string, made, deadline time.Time) (d oncekey.Decision, asked bool) {
+	until := o.h.Clock.Now().Add(moveWait)
+	for {
+		now := o.h.Clock.Now()
+		home, _ := fence.Pair(o.unit.name, o.h.view().members)
+		args := BeginArgs{Unit: o.unit.name, Service: service, Begin: oncekey.Begin{Key: o.key, Attempt: o.attempt, Runner: o.h.self, Remaining: deadline.Sub(now), Made: made}}
+		d = oncekey.Decision{}
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		err := o.h.call(callCtx, home.Name, "Begin", args, &d)
+		cancel()
+		if err != nil {
+			d, asked = oncekey.Decision{}, true
+		}
+		if d.Verdict != oncekey.NotHome || now.After(until) {
+			return d, asked
+		}
+		select {
+		case <-o.h.Clock.After(retryPause):
+		case <-ctx.Done():
+			return d, asked
+		}
+	}
+}
+
 // Abort notes that the request certainly did not run.
 func (o *Once) Abort() { o.finish(FinishArgs{Abort: true}) }
 
--- a/internal/oncekey/serve.go
+++ b/internal/oncekey/serve.go
@@ -116,7 +116,7 @@
 		return Decision{Verdict: NotHome}
 	}
 	if e, ok := c.records[b.Key]; ok {
-		return c.known(e, now)
+		return c.known(e, b, now)
 	}
 	if v, why := c.mayBeNew(b, now); v != Run {
 		return Decision{Verdict: v, Why: why}
@@ -130,8 +130,12 @@
 	return Decision{Verdict: Run, Epoch: c.home.epoch, Record: r}
 }
 
-func (c *Core) known(e entry, now time.Time) Decision {
+// known decides for a key with a record. An attempt that asks again has not
+// been sent, since its host sends only after an answer.
+func (c *Core) known(e entry, b Begin, now time.Time) Decision {
 	switch {
+	case e.State == Intent && e.Attempt == b.Attempt && now.Before(e.deadline):
+		return Decision{Verdict: Run, Epoch: c.home.epoch, Record: e.record(now)}
 	case e.State == Done && e.Answer.Cut:
 		return Decision{Verdict: Unknown, Why: "it ran, but its answer was too large or was cut off and is not kept"}
 	case e.State == Done:
