--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,7 +24,6 @@
 	"greengagequay/internal/logs"
 	"greengagequay/internal/metrics"
 	"greengagequay/internal/model"
-	"greengagequay/internal/registry"
 	"greengagequay/internal/replica"
 	"greengagequay/internal/request"
 	"greengagequay/internal/rpc"
@@ -45,7 +44,7 @@
 	controlBytes atomic.Int64
 	freshness    follow.Freshness
 	tokens       *access.Tokens // nil lets everyone in
-	registry     *registry.Registry
+	registry     *announcements
 	reports      flowReports
 	server       *rpc.Server
 	client       *rpc.Client
@@ -75,8 +74,9 @@
 		logs:        l,
 		log:         l.Part("daemon"),
 		incarnation: uint64(c.Now().UnixMicro()),
-		registry:    registry.New(),
 	}
+	d.Metrics.GaugeFunc("control.bytes", d.ControlBytes)
+	d.Metrics.GaugeFunc("state.revision", func() int64 { return int64(d.Replica.Revision()) })
 	if err := d.secure(); err != nil {
 		b.Close()
 		return nil, err
