Refuse claims that are newer than a host's own table

A host that two tables had dropped and listed again reported its old records as whole, since a home with a newer table asked it before it saw those tables itself. Ruled out: the backup's copy and the lease; the trace shows the report. Change: a host reports only once its table has reached the claim's epoch and it has noticed its own absence.

--- a/internal/homes/homes.go
+++ b/internal/homes/homes.go
@@ -50,6 +50,8 @@
 	Config
 	self string // process name
 
+	joining sync.Mutex // held until all units know that the table lists this host again
+
 	mu       sync.Mutex
 	since    int64                 // since when this process has been in the table without a gap
 	presence presence              // own, in the table
--- a/internal/homes/service.go
+++ b/internal/homes/service.go
@@ -151,9 +151,12 @@
 func (h *Homes) Service() *Service { return &Service{h: h} }
 
 // Fence takes claims. A claim that this host's newer table contradicts is
-// refused, so that a process without memory agrees to no outdated home.
+// refused, so that a process without memory agrees to no outdated home. So is
+// one that is newer than this host's table, by which this host may learn that
+// it was dropped and that its records are not whole.
 func (s *Service) Fence(args FenceArgs, out *FenceReply) error {
 	v := s.h.view()
+	s.h.noteHosts(v)
 	out.Process = s.h.self
 	for _, claim := range args.Slots {
 		out.Slots = append(out.Slots, s.fenceSlots(v, claim, v.homes[claim.Unit]))
@@ -169,10 +172,19 @@
 	return fence.Epoch(t.Revision) > claim.Mark.Epoch && home != "" && home != hostOf(claim.Mark.Home)
 }
 
+// isBehind reports whether a claim is newer than this host's table and than
+// what this host agreed to.
+func isBehind(t *table.Table, claim Claim, agreed fence.Epoch) bool {
+	return fence.Epoch(t.Revision) < claim.Mark.Epoch && (claim.Report || agreed != claim.Mark.Epoch)
+}
+
 func (s *Service) fenceSlots(v view, claim Claim, home string) SlotReply {
 	u := s.h.slotsOf(claim.Unit)
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if isBehind(v.table, claim, u.core.Epoch()) {
+		return SlotReply{}
+	}
 	if contradicts(v.table, claim, home) {
 		return SlotReply{Known: u.core.Epoch()}
 	}
@@ -195,6 +207,9 @@
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if isBehind(v.table, claim, u.core.Epoch()) {
+		return KeyReply{}
+	}
 	if contradicts(v.table, claim, home) {
 		return KeyReply{Known: u.core.Epoch()}
 	}
--- a/internal/homes/tick.go
+++ b/internal/homes/tick.go
@@ -155,6 +155,8 @@
 // noteHosts keeps the addresses of all hosts and notices when the table lists
 // this host for the first time or again.
 func (h *Homes) noteHosts(v view) {
+	h.joining.Lock()
+	defer h.joining.Unlock()
 	h.mu.Lock()
 	for _, host := range v.table.Hosts {
 		h.hosts[host.Name] = host
--- a/internal/oncekey/world_test.go
+++ b/internal/oncekey/world_test.go
@@ -198,15 +198,20 @@
 	})
 }
 
-// tend does what a host does at each tick.
-func (w *world) tend(n *node) {
-	w.on(n, 50*time.Millisecond, func() { w.tend(n) })
+// rejoin tells a host's core if its table shows that it was dropped.
+func (w *world) rejoin(n *node) {
 	for _, m := range w.tables[n.rev] {
 		if m.name == n.name && m.num != n.num {
 			n.num = m.num
 			n.core.Rejoin(w.now)
 		}
 	}
+}
+
+// tend does what a host does at each tick.
+func (w *world) tend(n *node) {
+	w.on(n, 50*time.Millisecond, func() { w.tend(n) })
+	w.rejoin(n)
 	home, backup := w.pair(n.rev)
 	if home.name != n.name {
 		n.core.Resign()
@@ -241,6 +246,10 @@
 	for _, name := range n.core.Waiting() {
 		peer := w.find(name)
 		w.send(n, peer, func() {
+			if peer.rev < int(claim.Epoch) {
+				return // it may not know yet that it was dropped
+			}
+			w.rejoin(peer)
 			report, ok := peer.core.Fence(claim, w.now)
 			known := peer.core.Epoch()
 			w.send(peer, n, func() {
