--- a/internal/filter/dispatch/dispatch.go
+++ b/internal/filter/dispatch/dispatch.go
@@ -6,8 +6,10 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"greengagequay/internal/clock"
@@ -77,6 +79,7 @@
 	out.URL.Host = b.Request.String()
 	out.RequestURI = ""
 	out.GetBody = nil
+	dropHopHeaders(out.Header)
 	body, ok := r.Body.Reader()
 	if !ok {
 		return nil, nil, fault.New(fault.NotRun, "send it again", "the body was read and is too long to be kept")
@@ -159,8 +162,24 @@
 	}
 }
 
-func copyHeader(to, from http.Header) {
-	for name, values := range from {
-		to[name] = append([]string(nil), values...)
+// hopHeaders concern one connection alone.
+var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
+
+// dropHopHeaders removes the headers that concern one connection, and those
+// that Connection names.
+func dropHopHeaders(h http.Header) {
+	for _, list := range h.Values("Connection") {
+		for name := range strings.SplitSeq(list, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		h.Del(name)
 	}
 }
+
+func copyHeader(to, from http.Header) {
+	from = from.Clone()
+	dropHopHeaders(from)
+	maps.Copy(to, from)
+}
