Lock a unit before the list of units everywhere

Cause, found by reading: dropUnits locked the list and then a unit, while a reply locks a unit and then the list, which can deadlock. Change: the list is copied first.

--- a/internal/homes/homes.go
+++ b/internal/homes/homes.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"greengagequay/internal/clock"
+	"greengagequay/internal/fence"
 	"greengagequay/internal/oncekey"
 	"greengagequay/internal/replica"
 	"greengagequay/internal/slots"
@@ -40,8 +41,7 @@
 	Replica     *replica.Replica
 	Calls       Caller
 	Clock       clock.Clock
-	// Confirmed returns when a control host was last asked for the state that
-	// it then confirmed as current.
+	// Confirmed returns when the replica's state was last known to be current.
 	Confirmed func() time.Time
 }
 
@@ -53,15 +53,16 @@
 	joining sync.Mutex // held until all units know that the table lists this host again
 
 	mu       sync.Mutex
-	since    int64                 // since when this process has been in the table without a gap
-	presence presence              // own, in the table
-	slots    map[string]*slotUnit  // by unit
-	shards   map[string]*shardUnit // by unit
-	hosts    map[string]table.Host // every host that was in the table, by name
-	calling  map[string]struct{}   // hosts with a fence call in progress
-	hints    map[string]slots.Load // by unit
-	seq      uint64                // of attempts
-	last     view                  // of the newest table
+	since    int64                  // since when this process has been in the table without a gap
+	presence presence               // own, in the table
+	slots    map[string]*slotUnit   // by unit
+	shards   map[string]*shardUnit  // by unit
+	hosts    map[string]table.Host  // every host that was in the table, by name
+	calling  map[string]struct{}    // hosts with a fence call in progress
+	hints    map[string]slots.Load  // by unit
+	seq      uint64                 // of attempts
+	last     view                   // of the newest table
+	births   map[string]fence.Epoch // revisions at which services were created
 	work     sync.WaitGroup
 	stopped  context.Context
 	stop     context.CancelFunc
@@ -95,7 +96,7 @@
 	h := &Homes{
 		Config: c, self: processName(c.Name, c.Incarnation), since: int64(c.Incarnation),
 		slots: map[string]*slotUnit{}, shards: map[string]*shardUnit{}, hosts: map[string]table.Host{},
-		calling: map[string]struct{}{}, hints: map[string]slots.Load{},
+		calling: map[string]struct{}{}, hints: map[string]slots.Load{}, births: map[string]fence.Epoch{},
 	}
 	h.stopped, h.stop = context.WithCancel(context.Background())
 	for _, unit := range oncekey.Shards() {
--- a/internal/homes/once.go
+++ b/internal/homes/once.go
@@ -65,15 +65,19 @@
 }
 
 // created returns the revision at which a service was first created, 0 if that
-// is no longer known.
-func (h *Homes) created(service string) (revision fence.Epoch) {
+// is no longer known. It never changes, and so is looked up once.
+func (h *Homes) created(service string) fence.Epoch {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if e, ok := h.births[service]; ok {
+		return e
+	}
 	h.Replica.Read(func(s *state.State) {
-		first, ok := s.FirstSet(settings.Path(service), settings.ServiceZones)
-		if ok {
-			revision = fence.Epoch(first)
+		if first, ok := s.FirstSet(settings.Path(service), settings.ServiceZones); ok {
+			h.births[service] = fence.Epoch(first)
 		}
 	})
-	return revision
+	return h.births[service]
 }
 
 func (s *Service) mark(e fence.Epoch) fence.Mark { return fence.Mark{Epoch: e, Home: s.h.self} }
--- a/internal/homes/tick.go
+++ b/internal/homes/tick.go
@@ -9,7 +9,6 @@
 	"greengagequay/internal/fence"
 	"greengagequay/internal/model"
 	"greengagequay/internal/oncekey"
-	"greengagequay/internal/replica"
 	"greengagequay/internal/settings"
 	"greengagequay/internal/slots"
 	"greengagequay/internal/state"
@@ -24,114 +23,6 @@
 // maxShardRecords bounds the records of one shard.
 const maxShardRecords = 4096
 
-// view is the table in the form that one tick needs.
-type view struct {
-	table   *table.Table
-	members []fence.Member        // hosts that may be homes
-	byName  map[string]table.Host // hosts that are alive or leaving
-	homes   map[string]string     // home of each backend server's slots, by unit
-	now     time.Time
-}
-
-func (v view) names() []string {
-	return slices.Sorted(maps.Keys(v.byName))
-}
-
-// zoneOf returns the zone whose hosts serve the backend server: its own, or
-// all if its own has no entry host.
-func (v view) zoneOf(b table.Backend) string {
-	for _, m := range v.members {
-		if m.Zone == b.Zone {
-			return b.Zone
-		}
-	}
-	return ""
-}
-
-// electorate returns the hosts of which a majority must agree to the lease of
-// the backend server's home.
-func (v view) electorate(b table.Backend) []string {
-	var names []string
-	zone := v.zoneOf(b)
-	for _, m := range v.members {
-		if zone == "" || m.Zone == zone {
-			names = append(names, m.Name)
-		}
-	}
-	return names
-}
-
-// first returns the processes of the table if no other process has ever been
-// an entry host: no number of a host is missing, and none has restarted.
-func (v view) first(r *replica.Replica) []string {
-	var next uint32
-	r.Read(func(s *state.State) {
-		if s.Revision == v.table.Revision {
-			next = s.Placement.NextNum
-		}
-	})
-	if len(v.table.Hosts)+len(v.table.Backends) != int(next)-1 {
-		return nil
-	}
-	var processes []string
-	for _, host := range v.table.Hosts {
-		if host.Returns != 0 || host.State == model.Dead {
-			return nil
-		}
-		processes = append(processes, v.process(host.Name))
-	}
-	return processes
-}
-
-// votes reports whether a host is of the electorate of a backend server.
-func (v view) votes(host string, b table.Backend) bool {
-	return slices.Contains(v.electorate(b), host)
-}
-
-func (v view) slotHome(b table.Backend) string { return v.homes[slotUnitOf(b)] }
-
-// process returns the process of a host of the table.
-func (v view) process(name string) string {
-	host, ok := v.byName[name]
-	if !ok {
-		return ""
-	}
-	return processName(name, host.Incarnation)
-}
-
-// view returns the view of the table in force. It is computed once per table.
-func (h *Homes) view() view {
-	t := h.Replica.Table()
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.last.table != t {
-		h.last = newView(t)
-	}
-	v := h.last
-	v.now = h.Clock.Now()
-	return v
-}
-
-func newView(t *table.Table) view {
-	v := view{table: t, byName: map[string]table.Host{}, homes: map[string]string{}}
-	for _, host := range t.Hosts {
-		if host.State == model.Dead {
-			continue
-		}
-		v.byName[host.Name] = host
-		if host.State != model.Leaving {
-			v.members = append(v.members, fence.Member{Name: host.Name, Zone: host.Zone})
-		}
-	}
-	for _, b := range t.Backends {
-		unit := slotUnitOf(b)
-		if ranked := fence.Rank(unit, v.zoneOf(b), v.members); len(ranked) > 0 {
-			v.homes[unit] = ranked[0].Name
-		}
-	}
-	return v
-}
-
 // tick does what is due: claims, leases, takeovers and the ends of waits.
 func (h *Homes) tick() {
 	v := h.view()
@@ -167,18 +58,14 @@
 	if listed {
 		h.presence = now
 	}
-	var units []*slotUnit
 	if joined {
 		h.since = v.now.UnixMicro()
-		for _, u := range h.slots {
-			units = append(units, u)
-		}
 	}
 	h.mu.Unlock()
 	if !joined {
 		return
 	}
-	for _, u := range units {
+	for _, u := range h.slotUnits() {
 		u.mu.Lock()
 		u.core.Rejoin(v.now)
 		u.mu.Unlock()
@@ -236,14 +123,6 @@
 	return append(hosts, former)
 }
 
-// stillAsked reports whether a takeover still waits for a host.
-func stillAsked(v view, host, former string, claimed time.Time) bool {
-	if _, ok := v.byName[host]; ok {
-		return true
-	}
-	return host == former && v.now.Sub(claimed) < handoverWait
-}
-
 func (h *Homes) slotParams(v view, b table.Backend) slots.Params {
 	p := slots.Params{Slots: b.Slots, MaxHold: MaxTimeout}
 	p.InZone = b.Zone == v.byName[h.Name].Zone
@@ -322,26 +201,37 @@
 }
 
 // dropUnits forgets backend servers that have left the table and run nothing.
+// A unit is locked before h.mu, here as elsewhere.
 func (h *Homes) dropUnits(v view) {
 	listed := map[string]struct{}{}
 	for _, b := range v.table.Backends {
 		listed[slotUnitOf(b)] = struct{}{}
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for name, u := range h.slots {
-		if _, ok := listed[name]; ok {
+	for _, u := range h.slotUnits() {
+		if _, ok := listed[u.name]; ok {
 			continue
 		}
 		u.mu.Lock()
 		if u.core.Idle() && fence.Epoch(v.table.Revision) > u.core.Epoch() {
-			delete(h.slots, name)
-			delete(h.hints, name)
+			h.forget(u.name)
 		}
 		u.mu.Unlock()
 	}
 }
 
+func (h *Homes) slotUnits() []*slotUnit {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Collect(maps.Values(h.slots))
+}
+
+func (h *Homes) forget(unit string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.slots, unit)
+	delete(h.hints, unit)
+}
+
 // settleAll answers queued attempts.
 func (u *slotUnit) settleAll(attempts []string, verdict slots.Verdict) {
 	for _, attempt := range attempts {
