--- a/internal/oncekey/serve.go
+++ b/internal/oncekey/serve.go
@@ -43,7 +43,7 @@
 	if c.home == nil || c.home.epoch != e || !c.home.gathered {
 		return false
 	}
-	if c.home.lost && now.Before(c.home.decided.Add(LeaseTerm)) {
+	if c.home.lost && now.Before(c.home.decided.Add(c.home.params.Lease)) {
 		return false
 	}
 	c.home.open = true
@@ -60,11 +60,11 @@
 	}
 }
 
-// Renew extends the lease under which this host permits requests. asked is
-// when the host asked for the state that confirmed it as the home.
-func (c *Core) Renew(asked time.Time) {
+// Renew extends the lease under which this host permits requests. current is
+// when the state that names this host as the home was last known to be current.
+func (c *Core) Renew(current time.Time) {
 	if c.home != nil {
-		c.home.lease = asked.Add(LeaseTerm)
+		c.home.lease = current.Add(c.home.params.Lease)
 	}
 }
 
@@ -104,14 +104,19 @@
 	return true
 }
 
+// Serves reports whether this host permits requests as the shard's home.
+func (c *Core) Serves(now time.Time) bool {
+	return c.home != nil && c.home.open && now.Before(c.home.lease)
+}
+
 // Begin decides whether a request may run. After Run the caller of Begin must
 // copy the record to the backup before it passes the permission on.
 func (c *Core) Begin(b Begin, now time.Time) Decision {
-	if c.home == nil || !c.home.open || !now.Before(c.home.lease) {
+	if !c.Serves(now) {
 		return Decision{Verdict: NotHome}
 	}
 	if e, ok := c.records[b.Key]; ok {
-		return c.known(e, now)
+		return c.known(e, b, now)
 	}
 	if v, why := c.mayBeNew(b, now); v != Run {
 		return Decision{Verdict: v, Why: why}
@@ -125,8 +130,12 @@
 	return Decision{Verdict: Run, Epoch: c.home.epoch, Record: r}
 }
 
-func (c *Core) known(e entry, now time.Time) Decision {
+// known decides for a key with a record. An attempt that asks again has not
+// been sent, since its host sends only after an answer.
+func (c *Core) known(e entry, b Begin, now time.Time) Decision {
 	switch {
+	case e.State == Intent && e.Attempt == b.Attempt && now.Before(e.deadline):
+		return Decision{Verdict: Run, Epoch: c.home.epoch, Record: e.record(now)}
 	case e.State == Done && e.Answer.Cut:
 		return Decision{Verdict: Unknown, Why: "it ran, but its answer was too large or was cut off and is not kept"}
 	case e.State == Done:
