--- a/internal/member/sync.go
+++ b/internal/member/sync.go
@@ -14,8 +14,9 @@
 	entryBytes   = 8    // of one record in a comparison
 	maxPacked    = 1000 // bytes of the entries of one comparison
 	recordBytes  = 1000 // bytes of records in one message
-	hurrySync    = 500 * time.Millisecond
+	hurrySync    = time.Second
 	maxWanted    = 100
+	seedRounds   = 4 // of reviveInterval, in which a seed hears from one host on average
 	digestsEqual = 0 // number of an Ack that only says that the sender lives
 )
 
@@ -50,7 +51,7 @@
 		m := &Message{Kind: Digest, Hosts: []HostRecord{c.self.rec, h.rec}}
 		c.sendRaw(h.rec.Gossip, m)
 	}
-	if len(c.seeds) > 0 && (len(c.peers()) == 0 || len(c.hosts) <= len(c.seeds) || c.rand.IntN(10) == 0) {
+	if len(c.seeds) > 0 && (len(c.peers()) == 0 || len(c.hosts) <= len(c.seeds) || c.rand.IntN(seedRounds*len(c.hosts)) == 0) {
 		c.sendDigest(c.seeds[c.rand.IntN(len(c.seeds))])
 	}
 }
@@ -102,7 +103,7 @@
 		answer.Mask |= 1 << slice
 		answer.Packed = append(answer.Packed, packed[:min(len(packed), maxPacked)]...)
 	}
-	if answer.Mask != 0 && c.rumors.spend(len(answer.Packed)) {
+	if answer.Mask != 0 && c.budgetFor(m).spend(len(answer.Packed)) {
 		c.sendRaw(from, answer)
 	}
 }
@@ -166,7 +167,7 @@
 			}
 		})
 	}
-	c.sendRecords(from, hosts, items)
+	c.sendRecords(from, c.budgetFor(m), hosts, items)
 	c.askFor(from, theirs)
 }
 
@@ -191,17 +192,17 @@
 			items = append(items, i.Item)
 		}
 	}
-	c.sendRecords(from, hosts, items)
+	c.sendRecords(from, c.budgetFor(m), hosts, items)
 }
 
 // sendRecords sends records in as many messages as they need and the byte
 // budget allows. What it does not allow waits for the next comparison.
-func (c *Core) sendRecords(to string, hosts []HostRecord, items []Item) {
+func (c *Core) sendRecords(to string, b *budget, hosts []HostRecord, items []Item) {
 	slices.SortFunc(hosts, func(a, b HostRecord) int { return int(int64(hashOf(a.Name)) - int64(hashOf(b.Name))) })
 	slices.SortFunc(items, func(a, b Item) int { return int(int64(hashOf(a.Key)) - int64(hashOf(b.Key))) })
 	m, room := &Message{Kind: Records}, recordBytes
 	fit := func(size int) bool {
-		if !c.rumors.spend(size) {
+		if !b.spend(size) {
 			return false
 		}
 		if size > room {
