Keep late answers out of replies and bound writes between hosts

Cause: a pull that timed out could still be decoded into the reply that its caller read (a data race, seen once in TestAcceptedChangesOutliveControlHosts), and a call could hang in the write of a connection that takes no data. A host that an emulator restarts could find its port taken for a moment. Change: answers are decoded into a value of their own; writes end after 5 s; the emulator binds again until its time is over. Tests: TestLateAnswerIsDropped.

--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -171,7 +171,7 @@
 // Revive starts a host that has ended on the same addresses, and waits until
 // it has caught up with the others.
 func (f *Fleet) Revive(ctx context.Context, i int) error {
-	b, err := daemon.Bind(f.Host(i).Config)
+	b, err := f.bindAgain(ctx, f.Host(i).Config)
 	if err != nil {
 		return err
 	}
@@ -186,6 +186,19 @@
 	return f.WaitRevision(ctx, f.newest(), i)
 }
 
+// bindAgain binds the addresses of a host that has ended. A connection of
+// another process may have been given one of its ports meanwhile; that passes.
+func (f *Fleet) bindAgain(ctx context.Context, c config.Config) (b *daemon.Bound, err error) {
+	waitErr := f.WaitFor(ctx, func() bool {
+		b, err = daemon.Bind(c)
+		return err == nil
+	})
+	if waitErr != nil {
+		return nil, err
+	}
+	return b, nil
+}
+
 func (f *Fleet) setDown(i int, down bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/rpc"
+	"reflect"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,7 +35,8 @@
 	return &Client{bytes: bytes, tls: tlsFor, peers: map[string]*peer{}}
 }
 
-// Call calls a method of the peer at addr. A call that cannot be delivered
+// Call calls a method of the peer at addr. reply points to the answer, which is
+// set before Call returns or not at all. A call that cannot be delivered
 // fails with kind Unavailable, as does one that outlives ctx: it may have run.
 func (c *Client) Call(ctx context.Context, addr, method string, args, reply any) error {
 	p, err := c.peer(ctx, addr)
@@ -42,9 +44,13 @@
 		return unavailable(addr, method, err)
 	}
 	readBefore := p.conn.read.Load()
-	call := p.Go(method, args, reply, make(chan *rpc.Call, 1))
+	// A late answer is decoded even if nobody waits for it any more, so it
+	// must not go into the caller's reply.
+	own := reflect.New(reflect.TypeOf(reply).Elem())
+	call := p.Go(method, args, own.Interface(), make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
+		reflect.ValueOf(reply).Elem().Set(own.Elem())
 		return c.result(addr, method, p, call.Error)
 	case <-ctx.Done():
 		c.suspect(ctx, addr, p, readBefore)
--- a/internal/rpc/conn.go
+++ b/internal/rpc/conn.go
@@ -3,8 +3,13 @@
 import (
 	"net"
 	"sync/atomic"
+	"time"
 )
 
+// writeTimeout ends a connection whose other end takes no data, so that calls
+// do not queue behind it.
+const writeTimeout = 5 * time.Second
+
 // countingConn adds the bytes it moves to a counter.
 type countingConn struct {
 	net.Conn
@@ -20,6 +25,7 @@
 }
 
 func (c *countingConn) Write(p []byte) (int, error) {
+	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
 	n, err := c.Conn.Write(p)
 	c.bytes.Add(int64(n))
 	return n, err
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -115,6 +115,41 @@
 	c.Assert(out, qt.Equals, "c")
 }
 
+// An answer that comes after the call timed out must not touch the reply.
+func TestLateAnswerIsDropped(t *testing.T) {
+	c := qt.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	server := NewServer(l, new(atomic.Int64))
+	slow := &slowEcho{release: make(chan struct{})}
+	c.Assert(server.Register("Slow", slow), qt.IsNil)
+	c.Assert(server.Register("Echo", echo{}), qt.IsNil)
+	go server.Serve()
+	defer server.Close()
+	client := NewClient(new(atomic.Int64), nil)
+	defer client.Close()
+
+	out := "unset"
+	c.Assert(client.Call(context.Background(), l.Addr().String(), "Echo.Say", "unset", &out), qt.IsNil) // opens the connection
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	c.Assert(client.Call(ctx, l.Addr().String(), "Slow.Say", "late", &out), qt.IsNotNil)
+	close(slow.release)
+	var second string
+	c.Assert(client.Call(context.Background(), l.Addr().String(), "Slow.Say", "b", &second), qt.IsNil)
+	c.Assert(out, qt.Equals, "unset")
+}
+
+// slowEcho answers once it is released.
+type slowEcho struct{ release chan struct{} }
+
+// Say returns what it was given.
+func (s *slowEcho) Say(in string, out *string) error {
+	<-s.release
+	*out = in
+	return nil
+}
+
 func TestErrorsKeepKindAndRemedy(t *testing.T) {
 	c := qt.New(t)
 	client := NewClient(new(atomic.Int64), nil)
