--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -25,6 +25,8 @@
 	Keys      float64       `help:"Share of requests that may run once." default:"0.2"`
 	Deadline  time.Duration `help:"Time a caller waits." default:"2s"`
 	Seed      uint64        `help:"Seed of random choices." default:"1"`
+	Targets   []string      `help:"Addresses of entry hosts that take requests, IP:port, of a system that runs; without, one is started." name:"target"`
+	Asked     string        `help:"Service that targets are asked for." name:"target-service" default:"pantanir"`
 	Plot      string        `help:"Write the distribution of latency to this .svg file." type:"path"`
 }
 
@@ -34,7 +36,7 @@
 	r, err := load.Run(ctx, load.Options{
 		Rate: c.Rate, Duration: c.Duration, Hosts: c.Hosts, Backends: c.Backends, Slots: c.Slots,
 		Service: c.Service, Customers: c.Customers, Uploads: c.Uploads, Keys: c.Keys,
-		Timeout: c.Deadline, Seed: c.Seed,
+		Timeout: c.Deadline, Seed: c.Seed, Targets: c.Targets, Target: c.Asked,
 	})
 	if err != nil {
 		return err
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -35,6 +35,10 @@
 	Keys      float64 // share of requests that may run once
 	Timeout   time.Duration
 	Seed      uint64
+	// Targets are the addresses that take requests on entry hosts of a system
+	// that runs already; if there are none, one is started on loopback.
+	Targets []string
+	Target  string // service that targets are asked for
 }
 
 // Report is what the callers and the backend servers saw.
@@ -88,21 +92,30 @@
 // run is one run in progress.
 type run struct {
 	Options
-	fleet  *emulator.Fleet
+	fleet  *emulator.Fleet // nil if the targets run already
 	mu     sync.Mutex
 	report Report
-	times  map[string]*hdrhistogram.Histogram
-	all    *hdrhistogram.Histogram
+	// answers counts answers by the backend server that names itself in them.
+	answers map[string]int
+	times   map[string]*hdrhistogram.Histogram
+	all     *hdrhistogram.Histogram
 }
 
-// Run starts a system, drives it and returns the report.
+// Run drives the targets, or a system that it starts, and returns the report.
 func Run(ctx context.Context, o Options) (Report, error) {
-	f, err := startFleet(ctx, o)
-	if err != nil {
-		return Report{}, err
+	var f *emulator.Fleet
+	if len(o.Targets) == 0 {
+		var err error
+		if f, err = startFleet(ctx, o); err != nil {
+			return Report{}, err
+		}
+		defer f.Close()
+		o.Target = service
+		for i := range 2 * o.Hosts {
+			o.Targets = append(o.Targets, f.Host(i).Config.Requests)
+		}
 	}
-	defer f.Close()
-	r := &run{Options: o, fleet: f, all: newHistogram(), times: map[string]*hdrhistogram.Histogram{order: newHistogram(), upload: newHistogram()}}
+	r := &run{Options: o, fleet: f, answers: map[string]int{}, all: newHistogram(), times: map[string]*hdrhistogram.Histogram{order: newHistogram(), upload: newHistogram()}}
 	r.report = Report{Outcomes: map[string]int{}, Latency: map[string]Latency{}}
 	r.drive(ctx, arrivals(o))
 	r.summarize()
@@ -160,7 +173,7 @@
 		if at > o.Duration {
 			return list
 		}
-		a := arrival{n: len(list), at: at, class: order, host: chance.IntN(2 * o.Hosts)}
+		a := arrival{n: len(list), at: at, class: order, host: chance.IntN(len(o.Targets))}
 		a.customer = fmt.Sprintf("customer-%d", chance.IntN(o.Customers))
 		if chance.Float64() < o.Uploads {
 			a.class = upload
@@ -195,12 +208,12 @@
 	if a.class == upload {
 		size = uploadSize
 	}
-	url := "http://" + r.fleet.Host(a.host).Config.Requests + path
+	url := "http://" + r.Targets[a.host] + path
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(strings.Repeat("x", size)))
 	if err != nil {
 		return "failed", true
 	}
-	req.Header.Set(request.HeaderService, service)
+	req.Header.Set(request.HeaderService, r.Target)
 	req.Header.Set(request.HeaderCustomer, a.customer)
 	req.Header.Set(request.HeaderClass, a.class)
 	req.Header.Set(request.HeaderTimeout, r.Timeout.String())
@@ -218,7 +231,16 @@
 		return "failed", true
 	}
 	outcome = resp.Header.Get(request.HeaderOutcome)
-	return outcome, outcome != request.Answered || string(body) == fmt.Sprintf("%s %s %d\n", service, path, size)
+	r.count(resp.Header.Get("Backend"))
+	return outcome, outcome != request.Answered || string(body) == fmt.Sprintf("%s %s %d\n", r.Target, path, size)
+}
+
+func (r *run) count(backend string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if backend != "" {
+		r.answers[backend]++
+	}
 }
 
 func (r *run) note(a arrival, outcome string, right bool, took time.Duration) {
@@ -241,19 +263,34 @@
 	for _, b := range r.all.CumulativeDistribution() {
 		r.report.Curve = append(r.report.Curve, Point{Percent: b.Quantile, Milliseconds: millis(b.ValueAt)})
 	}
+	r.report.Imbalance = r.imbalance()
+	if r.fleet != nil {
+		r.checkBackends()
+	}
+}
+
+// imbalance returns the most answers of a backend server divided by the mean.
+func (r *run) imbalance() float64 {
 	most, total := 0, 0
+	for _, n := range r.answers {
+		most, total = max(most, n), total+n
+	}
+	if total == 0 {
+		return 0
+	}
+	return float64(most*len(r.answers)) / float64(total)
+}
+
+// checkBackends takes over what the backend servers counted.
+func (r *run) checkBackends() {
 	runs := map[string]int{}
 	for _, b := range r.fleet.Backends {
 		c := b.HTTP.Counts()
 		r.report.SlotsExceeded += c.Exceeded
-		most, total = max(most, c.Total), total+c.Total
 		for key, n := range c.Runs {
 			runs[key] += n
 		}
 	}
-	if total > 0 {
-		r.report.Imbalance = float64(most*len(r.fleet.Backends)) / float64(total)
-	}
 	for _, n := range runs {
 		if n > 1 {
 			r.report.KeysRunTwice++
