--- a/internal/route/keeper.go
+++ b/internal/route/keeper.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"greengagequay/internal/fault"
 	"greengagequay/internal/records"
 	"greengagequay/internal/table"
 )
@@ -12,8 +11,13 @@
 // copyRetry is the time after which an unanswered copy is sent again.
 const copyRetry = time.Second
 
-// copyBudget is the most bytes of records that one step sends.
-const copyBudget = 32 << 10
+// Bounds on the bytes of copies that a host sends. They keep copies within the
+// budget of control traffic, but let a few buckets be repaired at once.
+const (
+	copyRate     = 4 << 10  // bytes per second
+	copyBurst    = 32 << 10 // bytes
+	copyOverhead = 100      // bytes of a call besides the records
+)
 
 // Copy is a batch of records to send to a backup.
 type Copy struct {
@@ -32,6 +36,9 @@
 	buckets map[BucketID]*watch
 	order   []BucketID
 	pushes  map[BucketID]*copyState // records of a cut that go to another home
+	budget  float64                 // bytes that copies may take now, negative after a large one
+	stepped time.Time               // time of the last step
+	turn    int                     // index in order of the bucket that was looked at last
 }
 
 // watch is what a home knows of one moving bucket.
@@ -60,16 +67,16 @@
 	if v != k.view {
 		k.adopt(now, v)
 	}
+	k.budget += copyRate * now.Sub(k.stepped).Seconds()
+	k.budget = min(k.budget, copyBurst)
+	k.stepped = now
 	out := k.push(now)
-	size := 0
-	for _, id := range k.order {
-		for _, c := range k.due(now, id) {
-			out = append(out, c)
-			size += len(c.Batch.Data)
-		}
-		if size >= copyBudget {
+	for range k.order {
+		if k.budget <= 0 {
 			break
 		}
+		k.turn = (k.turn + 1) % len(k.order)
+		out = append(out, k.due(now, k.order[k.turn])...)
 	}
 	return out
 }
@@ -110,10 +117,16 @@
 			continue
 		}
 		p := k.pushes[id]
-		if p == nil {
-			p = &copyState{}
+		if p == nil || p.incarnation != host.Incarnation {
+			p = &copyState{incarnation: host.Incarnation}
 			k.pushes[id] = p
 		}
+		// While a cut heals no record is added but through the homes, so
+		// that one copy of each bucket is enough.
+		if !p.acked.IsZero() && now.Sub(p.acked) < 2*HealDelay {
+			k.router.kept.remove(id)
+			continue
+		}
 		if now.Sub(p.sent) < copyRetry {
 			continue
 		}
@@ -135,8 +148,10 @@
 }
 
 func (k *Keeper) copyTo(id BucketID, to table.Host) Copy {
+	data := records.Encode(k.export(id))
+	k.budget -= float64(len(data) + copyOverhead)
 	return Copy{ID: id, To: to.Num, Incarnation: to.Incarnation, Batch: records.Batch{
-		Service: id.Service, Bucket: id.Index, Data: records.Encode(k.export(id)),
+		Service: id.Service, Bucket: id.Index, Data: data,
 	}}
 }
 
@@ -195,8 +210,8 @@
 
 // Acked notes that a copy has arrived.
 func (k *Keeper) Acked(now time.Time, c Copy) {
-	if p := k.pushes[c.ID]; p != nil {
-		delete(k.pushes, c.ID)
+	if p := k.pushes[c.ID]; p != nil && p.incarnation == c.Incarnation {
+		p.acked = now
 		k.router.kept.remove(c.ID)
 	}
 	w := k.buckets[c.ID]
@@ -207,90 +222,3 @@
 		s.acked = now
 	}
 }
-
-// Interrupted notes that a host that was cut off may have taken packets of a
-// bucket whose home this is. The watch of the bucket starts anew.
-func (k *Keeper) Interrupted(now time.Time, id BucketID) {
-	if w := k.buckets[id]; w != nil {
-		w.started = now
-	}
-}
-
-// Status returns what the host knows of the moving buckets whose home it is,
-// and names the stable buckets whose home it has to become.
-func (k *Keeper) Status(now time.Time) []records.BucketStatus {
-	var out []records.BucketStatus
-	for _, id := range k.order {
-		out = append(out, k.status(now, id))
-	}
-	for _, id := range k.router.kept.list() {
-		b := k.bucket(id)
-		switch {
-		case b == nil || b.Moving():
-		case k.exceptions(id, b.Unknown()) == 0:
-			k.router.kept.remove(id)
-		default:
-			out = append(out, records.BucketStatus{Service: id.Service, Bucket: id.Index, Since: b.Since, Home: k.view.self, Kept: true})
-		}
-	}
-	return out
-}
-
-func (k *Keeper) status(now time.Time, id BucketID) records.BucketStatus {
-	w := k.buckets[id]
-	s := records.BucketStatus{Service: id.Service, Bucket: id.Index, Since: w.bucket.Since, Home: k.view.self}
-	s.Exceptions = k.exceptions(id, w.bucket.Opening())
-	if w.moving {
-		s.SettledFor = now.Sub(w.started)
-	}
-	for _, n := range w.bucket.Backups {
-		if c := w.copies[n]; c != nil && !c.acked.IsZero() {
-			s.Copies = append(s.Copies, records.CopyStatus{Backup: n, Incarnation: c.incarnation})
-		}
-	}
-	s.Done = w.done(s, k.idle(id.Service))
-	return s
-}
-
-// exceptions counts the records of backend servers other than the given one.
-func (k *Keeper) exceptions(id BucketID, usual table.BackendNum) int {
-	n := 0
-	for _, r := range k.export(id) {
-		if r.Backend != usual {
-			n++
-		}
-	}
-	return n
-}
-
-func (w *watch) done(s records.BucketStatus, idle time.Duration) bool {
-	switch w.bucket.Phase {
-	case table.Move:
-		return s.SettledFor > idle
-	case table.Settle:
-		// A home that restarted in this phase has its exceptions back once
-		// it has watched for the idle timeout: each packet asks the backups.
-		return s.Exceptions == 0 && s.SettledFor > idle
-	}
-	return false
-}
-
-var errFull = fault.New(fault.Unavailable, "raise the limit on flow records", "the store of flow records is full")
-
-// Install takes over the records that another host sent. What is recorded here
-// counts before a copy: the home that sent it may have lost its own records.
-func (r *Router) Install(now records.Seconds, b records.Batch) error {
-	list, err := records.Decode(b.Data)
-	if err != nil {
-		return err
-	}
-	for _, rec := range list {
-		if _, _, known := r.Records.Lookup(rec.Flow, now); known && !b.Override {
-			continue
-		}
-		if !r.Records.Put(rec, 0, now) {
-			return errFull
-		}
-	}
-	return nil
-}
