--- a/internal/fence/fence_test.go
+++ b/internal/fence/fence_test.go
@@ -63,3 +63,33 @@
 		c.Assert(home.Zone, qt.Not(qt.Equals), backup.Zone)
 	}
 }
+
+// First and Pair must agree with the whole ranking.
+func TestPairAgreesWithRank(t *testing.T) {
+	c := qt.New(t)
+	for size := range 8 {
+		var members []Member
+		for i := range size {
+			members = append(members, Member{Name: fmt.Sprint(i), Zone: fmt.Sprint(i % 3)})
+		}
+		for unit := range 100 {
+			name := fmt.Sprint(unit)
+			ranked := Rank(name, "", members)
+			home, backup := Pair(name, members)
+			first, ok := First(name, members)
+			c.Assert(ok, qt.Equals, size > 0)
+			if size == 0 {
+				continue
+			}
+			c.Assert(home, qt.Equals, ranked[0])
+			c.Assert(first, qt.Equals, ranked[0])
+			want := Member{}
+			for _, m := range ranked[1:] {
+				if want == (Member{}) || m.Zone != home.Zone && want.Zone == home.Zone {
+					want = m
+				}
+			}
+			c.Assert(backup, qt.Equals, want)
+		}
+	}
+}
--- a/internal/fence/rendezvous.go
+++ b/internal/fence/rendezvous.go
@@ -23,7 +23,7 @@
 	}
 	all := make([]scored, len(members))
 	for i, m := range members {
-		all[i] = scored{m, xxhash.Sum64String(unit + "\x00" + m.Name)}
+		all[i] = scored{m, scoreOf(unit, m)}
 	}
 	slices.SortFunc(all, func(a, b scored) int {
 		if near := cmp.Compare(outside(a.Member, zone), outside(b.Member, zone)); near != 0 {
@@ -45,21 +45,44 @@
 	return 1
 }
 
+// First returns the first member of Rank, without ranking the others. It
+// reports false if there is none.
+func First(unit string, members []Member) (first Member, ok bool) {
+	var best uint64
+	for _, m := range members {
+		score := scoreOf(unit, m)
+		if !ok || before(score, m, best, first) {
+			first, best, ok = m, score, true
+		}
+	}
+	return first, ok
+}
+
 // Pair returns home and backup of a unit. The backup is in another zone if
 // there is one, and empty if there is no second member.
 func Pair(unit string, members []Member) (home, backup Member) {
-	ranked := Rank(unit, "", members)
-	if len(ranked) == 0 {
+	home, ok := First(unit, members)
+	if !ok {
 		return Member{}, Member{}
 	}
-	home = ranked[0]
-	for _, m := range ranked[1:] {
-		if m.Zone != home.Zone {
-			return home, m
+	var best uint64
+	found := false
+	for _, m := range members {
+		if m == home {
+			continue
+		}
+		score := scoreOf(unit, m)
+		near, nearBest := m.Zone == home.Zone, backup.Zone == home.Zone
+		if !found || near != nearBest && nearBest || near == nearBest && before(score, m, best, backup) {
+			backup, best, found = m, score, true
 		}
-	}
-	if len(ranked) > 1 {
-		backup = ranked[1]
 	}
 	return home, backup
 }
+
+func scoreOf(unit string, m Member) uint64 { return xxhash.Sum64String(unit + "\x00" + m.Name) }
+
+// before reports whether member a with its score ranks before member b.
+func before(scoreA uint64, a Member, scoreB uint64, b Member) bool {
+	return scoreA > scoreB || scoreA == scoreB && a.Name < b.Name
+}
--- a/internal/homes/homes.go
+++ b/internal/homes/homes.go
@@ -52,20 +52,21 @@
 
 	joining sync.Mutex // held until all units know that the table lists this host again
 
-	mu       sync.Mutex
-	since    int64                  // since when this process has been in the table without a gap
-	presence presence               // own, in the table
-	slots    map[string]*slotUnit   // by unit
-	shards   map[string]*shardUnit  // by unit
-	hosts    map[string]table.Host  // every host that was in the table, by name
-	calling  map[string]struct{}    // hosts with a fence call in progress
-	hints    map[string]slots.Load  // by unit
-	seq      uint64                 // of attempts
-	last     view                   // of the newest table
-	births   map[string]fence.Epoch // revisions at which services were created
-	work     sync.WaitGroup
-	stopped  context.Context
-	stop     context.CancelFunc
+	mu        sync.Mutex
+	since     int64                  // since when this process has been in the table without a gap
+	presence  presence               // own, in the table
+	slots     map[string]*slotUnit   // by unit
+	shards    map[string]*shardUnit  // by unit
+	hosts     map[string]table.Host  // every host that was in the table, by name
+	calling   map[string]struct{}    // hosts with a fence call in progress
+	hints     map[string]slots.Load  // by unit
+	seq       uint64                 // of attempts
+	last      view                   // of the newest table
+	births    map[string]fence.Epoch // revisions at which services were created
+	work      sync.WaitGroup
+	retention retention // read and written by Run alone
+	stopped   context.Context
+	stop      context.CancelFunc
 }
 
 // slotUnit is the slots of one run of a backend server.
--- a/internal/homes/leave.go
+++ b/internal/homes/leave.go
@@ -1,7 +1,5 @@
 package homes
 
-import "greengagequay/internal/fence"
-
 // Ready reports whether this host serves every unit whose home it is.
 func (h *Homes) Ready() bool {
 	v := h.view()
@@ -21,7 +19,7 @@
 		}
 	}
 	for _, u := range h.shards {
-		home, _ := fence.Pair(u.name, v.members)
+		home := v.pairs[u.name].home
 		u.mu.Lock()
 		serves := u.core.Serves(v.now)
 		u.mu.Unlock()
--- a/internal/homes/once.go
+++ b/internal/homes/once.go
@@ -171,7 +171,7 @@
 	until := o.h.Clock.Now().Add(moveWait)
 	for {
 		now := o.h.Clock.Now()
-		home, _ := fence.Pair(o.unit.name, o.h.view().members)
+		home := o.h.view().pairs[o.unit.name].home
 		args := BeginArgs{Unit: o.unit.name, Service: service, Begin: oncekey.Begin{Key: o.key, Attempt: o.attempt, Runner: o.h.self, Remaining: deadline.Sub(now), Made: made}}
 		d = oncekey.Decision{}
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -212,7 +212,7 @@
 	defer o.end()
 	args.Unit, args.Key, args.Attempt = o.unit.name, o.key, o.attempt
 	for range finishTries {
-		home, _ := fence.Pair(o.unit.name, o.h.view().members)
+		home := o.h.view().pairs[o.unit.name].home
 		ctx, cancel := context.WithTimeout(o.h.stopped, callTimeout)
 		var taken bool
 		err := o.h.call(ctx, home.Name, "Finish", args, &taken)
--- a/internal/homes/service.go
+++ b/internal/homes/service.go
@@ -162,7 +162,7 @@
 		out.Slots = append(out.Slots, s.fenceSlots(v, claim, v.homes[claim.Unit]))
 	}
 	for _, claim := range args.Keys {
-		home, _ := fence.Pair(claim.Unit, v.members)
+		home := v.pairs[claim.Unit].home
 		out.Keys = append(out.Keys, s.fenceKeys(v, claim, home.Name))
 	}
 	return nil
--- a/internal/homes/tick.go
+++ b/internal/homes/tick.go
@@ -28,10 +28,8 @@
 	v := h.view()
 	h.noteHosts(v)
 	calls := fenceCalls{}
-	for _, b := range v.table.Backends {
-		if b.Request.IsValid() && b.State != model.Gone {
-			h.tendSlots(v, b, calls)
-		}
+	for _, b := range h.tended(v) {
+		h.tendSlots(v, b, calls)
 	}
 	retention := h.longestRetention()
 	for _, u := range h.shards {
@@ -77,6 +75,20 @@
 	}
 }
 
+// tended returns the backend servers whose home this host is or may have been.
+func (h *Homes) tended(v view) []table.Backend {
+	var list []table.Backend
+	for _, unit := range v.own {
+		list = append(list, v.listed[unit])
+	}
+	for _, u := range h.slotUnits() {
+		if b, ok := v.listed[u.name]; ok && v.homes[u.name] != h.Name {
+			list = append(list, b)
+		}
+	}
+	return slices.DeleteFunc(list, func(b table.Backend) bool { return !b.Request.IsValid() || b.State == model.Gone })
+}
+
 func (h *Homes) tendSlots(v view, b table.Backend, calls fenceCalls) {
 	u := h.slotsOf(slotUnitOf(b))
 	u.mu.Lock()
@@ -140,7 +152,7 @@
 func (h *Homes) tendShard(v view, u *shardUnit, retention time.Duration, calls fenceCalls) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	home, backup := fence.Pair(u.name, v.members)
+	home, backup := v.pairs[u.name].home, v.pairs[u.name].backup
 	if home.Name != h.Name || v.process(h.Name) != h.self {
 		u.core.Resign()
 		return
@@ -164,14 +176,25 @@
 
 // longestRetention returns the retention of records. A shard holds keys of all
 // services, so the longest counts.
-func (h *Homes) longestRetention() (longest time.Duration) {
+func (h *Homes) longestRetention() time.Duration {
 	h.Replica.Read(func(s *state.State) {
-		longest = s.Tree.Duration("/", settings.RequestRetention)
+		if h.retention.known && h.retention.revision == s.SettingsRevision {
+			return
+		}
+		longest := s.Tree.Duration("/", settings.RequestRetention)
 		for _, service := range s.Tree.Services() {
 			longest = max(longest, s.Tree.Duration(settings.Path(service), settings.RequestRetention))
 		}
+		h.retention = retention{known: true, revision: s.SettingsRevision, longest: longest}
 	})
-	return longest
+	return h.retention.longest
+}
+
+// retention is the longest retention of the settings of a revision.
+type retention struct {
+	known    bool
+	revision uint64
+	longest  time.Duration
 }
 
 // syncShard brings the whole shard to the backup, after which it serves.
@@ -203,12 +226,8 @@
 // dropUnits forgets backend servers that have left the table and run nothing.
 // A unit is locked before h.mu, here as elsewhere.
 func (h *Homes) dropUnits(v view) {
-	listed := map[string]struct{}{}
-	for _, b := range v.table.Backends {
-		listed[slotUnitOf(b)] = struct{}{}
-	}
 	for _, u := range h.slotUnits() {
-		if _, ok := listed[u.name]; ok {
+		if _, ok := v.listed[u.name]; ok {
 			continue
 		}
 		u.mu.Lock()
--- a/internal/homes/view.go
+++ b/internal/homes/view.go
@@ -7,6 +7,7 @@
 
 	"greengagequay/internal/fence"
 	"greengagequay/internal/model"
+	"greengagequay/internal/oncekey"
 	"greengagequay/internal/replica"
 	"greengagequay/internal/state"
 	"greengagequay/internal/table"
@@ -15,40 +16,42 @@
 // view is the table in the form that one tick needs.
 type view struct {
 	table   *table.Table
-	members []fence.Member        // hosts that may be homes
-	byName  map[string]table.Host // hosts that are alive or leaving
-	homes   map[string]string     // home of each backend server's slots, by unit
+	members []fence.Member            // hosts that may be homes
+	byName  map[string]table.Host     // hosts that are alive or leaving
+	zones   map[string][]fence.Member // members by zone
+	homes   map[string]string         // home of each backend server's slots, by unit
+	listed  map[string]table.Backend  // backend servers of the table, by unit
+	pairs   map[string]pair           // home and backup of each shard, by unit
+	own     []string                  // units of backend servers whose home this host is
 	now     time.Time
 }
 
+// pair is the home and the backup of a shard.
+type pair struct{ home, backup fence.Member }
+
 func (v view) names() []string {
 	return slices.Sorted(maps.Keys(v.byName))
 }
 
-// zoneOf returns the zone whose hosts serve the backend server: its own, or
-// all if its own has no entry host.
-func (v view) zoneOf(b table.Backend) string {
-	for _, m := range v.members {
-		if m.Zone == b.Zone {
-			return b.Zone
-		}
-	}
-	return ""
-}
-
 // electorate returns the hosts of which a majority must agree to the lease of
-// the backend server's home.
+// the backend server's home: those of its zone, or all if its zone has no
+// entry host.
 func (v view) electorate(b table.Backend) []string {
 	var names []string
-	zone := v.zoneOf(b)
-	for _, m := range v.members {
-		if zone == "" || m.Zone == zone {
-			names = append(names, m.Name)
-		}
+	for _, m := range v.near(b) {
+		names = append(names, m.Name)
 	}
 	return names
 }
 
+// near returns the hosts that may be the home of the backend server.
+func (v view) near(b table.Backend) []fence.Member {
+	if members := v.zones[b.Zone]; len(members) > 0 {
+		return members
+	}
+	return v.members
+}
+
 // first returns the processes of the table if no other process has ever been
 // an entry host: no number of a host is missing, and none has restarted.
 func (v view) first(r *replica.Replica) []string {
@@ -93,30 +96,43 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.last.table != t {
-		h.last = newView(t)
+		h.last = newView(t, h.Name)
 	}
 	v := h.last
 	v.now = h.Clock.Now()
 	return v
 }
 
-func newView(t *table.Table) view {
-	v := view{table: t, byName: map[string]table.Host{}, homes: map[string]string{}}
+func newView(t *table.Table, self string) view {
+	v := view{
+		table: t, byName: map[string]table.Host{}, zones: map[string][]fence.Member{},
+		homes: map[string]string{}, listed: map[string]table.Backend{}, pairs: map[string]pair{},
+	}
 	for _, host := range t.Hosts {
 		if host.State == model.Dead {
 			continue
 		}
 		v.byName[host.Name] = host
 		if host.State != model.Leaving {
-			v.members = append(v.members, fence.Member{Name: host.Name, Zone: host.Zone})
+			m := fence.Member{Name: host.Name, Zone: host.Zone}
+			v.members = append(v.members, m)
+			v.zones[host.Zone] = append(v.zones[host.Zone], m)
 		}
 	}
 	for _, b := range t.Backends {
 		unit := slotUnitOf(b)
-		if ranked := fence.Rank(unit, v.zoneOf(b), v.members); len(ranked) > 0 {
-			v.homes[unit] = ranked[0].Name
+		v.listed[unit] = b
+		if home, ok := fence.First(unit, v.near(b)); ok {
+			v.homes[unit] = home.Name
+			if home.Name == self {
+				v.own = append(v.own, unit)
+			}
 		}
 	}
+	for _, unit := range oncekey.Shards() {
+		home, backup := fence.Pair(unit, v.members)
+		v.pairs[unit] = pair{home, backup}
+	}
 	return v
 }
 
