--- a/internal/cli/change.go
+++ b/internal/cli/change.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"context"
 	"crypto/rand"
 
 	"greengagequay/internal/api"
@@ -16,11 +17,6 @@
 }
 
 func (f changeFlags) submit(e *env, ops []api.Op) error {
-	client, ctx, cancel, err := e.client()
-	if err != nil {
-		return err
-	}
-	defer cancel()
 	req := &api.ChangeRequest{ID: f.ID, Ops: ops, Author: api.NewOptString(author()), Message: api.NewOptString(f.Message), DryRun: api.NewOptBool(f.DryRun)}
 	if req.ID == "" {
 		req.ID = rand.Text()
@@ -28,7 +24,9 @@
 	if f.Base != nil {
 		req.Base.SetTo(*f.Base)
 	}
-	res, err := apiclient.Submit(ctx, client, req)
+	res, err := ask(e, func(client *api.Client, ctx context.Context) (*api.ChangeResult, error) {
+		return apiclient.Submit(ctx, client, req)
+	})
 	if err != nil {
 		return err
 	}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -93,14 +93,15 @@
 	}
 }
 
-// client returns a client of the API and a context bounded in time.
-func (e *env) client() (*api.Client, context.Context, context.CancelFunc, error) {
+// ask calls the API, bounded in time.
+func ask[T any](e *env, call func(*api.Client, context.Context) (T, error)) (answer T, err error) {
 	client, err := apiclient.New(apiclient.Options{Server: e.Server, Token: e.Token, CA: e.CA})
 	if err != nil {
-		return nil, nil, nil, err
+		return answer, err
 	}
 	ctx, cancel := context.WithTimeout(e.ctx, e.Timeout)
-	return client, ctx, cancel, nil
+	defer cancel()
+	return call(client, ctx)
 }
 
 // print writes the value as JSON, or the rows as a table.
--- a/internal/cli/control.go
+++ b/internal/cli/control.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"context"
 	"crypto/rand"
 	"encoding/binary"
 	"io"
@@ -28,12 +29,7 @@
 type membersCmd struct{}
 
 func (c *membersCmd) Run(e *env) error {
-	client, ctx, cancel, err := e.client()
-	if err != nil {
-		return err
-	}
-	defer cancel()
-	list, err := client.ListControlMembers(ctx)
+	list, err := ask(e, (*api.Client).ListControlMembers)
 	if err != nil {
 		return err
 	}
@@ -46,16 +42,13 @@
 
 // changeMember submits a change of one member.
 func changeMember(e *env, action api.ControlMemberChangeAction, name, addr string) error {
-	client, ctx, cancel, err := e.client()
-	if err != nil {
-		return err
-	}
-	defer cancel()
 	req := &api.ControlMemberChange{Action: action, Name: name}
 	if addr != "" {
 		req.Address.SetTo(addr)
 	}
-	res, err := client.ChangeControlMember(ctx, req)
+	res, err := ask(e, func(client *api.Client, ctx context.Context) (*api.ChangeResult, error) {
+		return client.ChangeControlMember(ctx, req)
+	})
 	if err != nil {
 		return err
 	}
@@ -92,12 +85,7 @@
 }
 
 func (c *snapshotCmd) Run(e *env) error {
-	client, ctx, cancel, err := e.client()
-	if err != nil {
-		return err
-	}
-	defer cancel()
-	body, err := client.GetSnapshot(ctx)
+	body, err := ask(e, (*api.Client).GetSnapshot)
 	if err != nil {
 		return err
 	}
--- a/internal/cli/files.go
+++ b/internal/cli/files.go
@@ -84,12 +84,7 @@
 
 // fetchTree returns what is set, and its revision.
 func fetchTree(e *env) (valueTree, int64, error) {
-	client, ctx, cancel, err := e.client()
-	if err != nil {
-		return nil, 0, err
-	}
-	defer cancel()
-	list, err := client.GetTree(ctx)
+	list, err := ask(e, (*api.Client).GetTree)
 	if err != nil {
 		return nil, 0, err
 	}
--- a/internal/cli/lists.go
+++ b/internal/cli/lists.go
@@ -11,12 +11,7 @@
 type servicesCmd struct{}
 
 func (c *servicesCmd) Run(e *env) error {
-	client, ctx, cancel, err := e.client()
-	if err != nil {
-		return err
-	}
-	defer cancel()
-	list, err := client.ListServices(ctx)
+	list, err := ask(e, (*api.Client).ListServices)
 	if err != nil {
 		return err
 	}
@@ -30,12 +25,7 @@
 type zonesCmd struct{}
 
 func (c *zonesCmd) Run(e *env) error {
-	client, ctx, cancel, err := e.client()
-	if err != nil {
-		return err
-	}
-	defer cancel()
-	list, err := client.ListZones(ctx)
+	list, err := ask(e, (*api.Client).ListZones)
 	if err != nil {
 		return err
 	}
@@ -63,12 +53,7 @@
 }
 
 func (c *backendsCmd) fetch(e *env) ([]api.Backend, error) {
-	client, ctx, cancel, err := e.client()
-	if err != nil {
-		return nil, err
-	}
-	defer cancel()
-	list, err := client.ListBackends(ctx)
+	list, err := ask(e, (*api.Client).ListBackends)
 	if err != nil {
 		return nil, err
 	}
@@ -84,12 +69,7 @@
 type hostsCmd struct{}
 
 func (c *hostsCmd) Run(e *env) error {
-	client, ctx, cancel, err := e.client()
-	if err != nil {
-		return err
-	}
-	defer cancel()
-	list, err := client.ListHosts(ctx)
+	list, err := ask(e, (*api.Client).ListHosts)
 	if err != nil {
 		return err
 	}
@@ -103,12 +83,7 @@
 type statusCmd struct{}
 
 func (c *statusCmd) Run(e *env) error {
-	client, ctx, cancel, err := e.client()
-	if err != nil {
-		return err
-	}
-	defer cancel()
-	st, err := client.GetStatus(ctx)
+	st, err := ask(e, (*api.Client).GetStatus)
 	if err != nil {
 		return err
 	}
--- a/internal/cli/settings.go
+++ b/internal/cli/settings.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"context"
 	"encoding/json"
 	"os/user"
 	"time"
@@ -46,16 +47,13 @@
 }
 
 func fetch(e *env, path, key string) (*api.SettingList, error) {
-	client, ctx, cancel, err := e.client()
-	if err != nil {
-		return nil, err
-	}
-	defer cancel()
 	params := api.GetSettingsParams{Path: path}
 	if key != "" {
 		params.Key.SetTo(key)
 	}
-	return client.GetSettings(ctx, params)
+	return ask(e, func(client *api.Client, ctx context.Context) (*api.SettingList, error) {
+		return client.GetSettings(ctx, params)
+	})
 }
 
 type setCmd struct {
@@ -117,12 +115,10 @@
 }
 
 func (c *historyCmd) Run(e *env) error {
-	client, ctx, cancel, err := e.client()
-	if err != nil {
-		return err
-	}
-	defer cancel()
-	list, err := client.ListChanges(ctx, api.ListChangesParams{Limit: api.NewOptInt(c.Limit)})
+	params := api.ListChangesParams{Limit: api.NewOptInt(c.Limit)}
+	list, err := ask(e, func(client *api.Client, ctx context.Context) (*api.ChangeList, error) {
+		return client.ListChanges(ctx, params)
+	})
 	if err != nil {
 		return err
 	}
