Keep the flows of a backend server whose announcements stop

Cause: a backend server whose lease ran out counted as gone and its flows were reset, though the host that it announces to may only be restarting. A planned restart could break flows that way. Change: a lapsed backend server is marked silent: it takes no new work and keeps its flows. It is gone once the votes of health are against it too, or after 30 s more.

--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -106,6 +106,34 @@
 	c.Assert(callers.Silent(), qt.Equals, 0) // each was reset
 }
 
+// The hosts that a backend server announces itself to may be gone for a while.
+// It still answers, so it gets no new work but keeps its flows.
+func TestLapsedAnnouncementBreaksNoFlow(t *testing.T) {
+	c := qt.New(t)
+	ctx, f, callers := start(t)
+	b := f.Backends[0]
+	b.Mute(true)
+	c.Assert(f.WaitFor(ctx, func() bool { return !sees(f, b.ID, model.Ready)() }), qt.IsNil)
+	c.Assert(f.WaitFor(ctx, sees(f, b.ID, model.Draining)), qt.IsNil)
+	c.Assert(use(t, ctx, callers), qt.Equals, 0)
+	b.Mute(false)
+	c.Assert(f.WaitFor(ctx, sees(f, b.ID, model.Ready)), qt.IsNil)
+	c.Assert(use(t, ctx, callers), qt.Equals, 0)
+}
+
+// A backend server that neither announces itself nor answers is gone, and its
+// flows are reset.
+func TestDeadBackendServerIsGone(t *testing.T) {
+	c := qt.New(t)
+	ctx, f, callers := start(t)
+	dead := f.Backends[0]
+	own := dead.Packets.Counts().Open
+	dead.Close()
+	c.Assert(f.WaitFor(ctx, sees(f, dead.ID, model.Gone)), qt.IsNil)
+	c.Assert(use(t, ctx, callers), qt.Equals, own)
+	c.Assert(callers.Silent(), qt.Equals, 0)
+}
+
 func TestAcceptedChangesOutliveControlHosts(t *testing.T) {
 	c := qt.New(t)
 	ctx, f, _ := start(t)
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -196,14 +196,25 @@
 	return min(1, max(firstShare, passed))
 }
 
-// Apply returns the backend servers as placement should see them: one that is
-// ejected keeps its flows and gets no new ones.
+// Apply returns the backend servers as placement should see them. One that is
+// ejected, or whose announcements have stopped, keeps its flows and gets no
+// new ones. If both hold, it is gone.
 func (c *Core) Apply(backends []model.Backend) []model.Backend {
 	list := slices.Clone(backends)
 	for i, b := range list {
-		if j := c.judged[b.ID]; j != nil && j.out && b.State == model.Ready {
-			list[i].State = model.Draining
-		}
+		list[i].State = c.stateOf(b)
 	}
 	return list
 }
+
+func (c *Core) stateOf(b model.Backend) model.BackendState {
+	j := c.judged[b.ID]
+	bad, out := j != nil && j.bad, j != nil && j.out
+	switch {
+	case b.Silent && bad && b.State != model.Gone:
+		return model.Gone
+	case b.State == model.Ready && (b.Silent || out):
+		return model.Draining
+	}
+	return b.State
+}
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -41,6 +41,7 @@
 	Weight      int    // relative share of flows, 0 means the service's default
 	Load        float64
 	Lease       time.Duration // announcement lapses after this time
+	Silent      bool          // the lease has run out, the backend server may live all the same
 }
 
 // HostState is the state of a host of the system.
--- a/internal/registry/codec.go
+++ b/internal/registry/codec.go
@@ -31,13 +31,14 @@
 	Weight      int
 	Load        float32
 	LeaseMS     int64
+	Silent      bool
 }
 
 func itemOf(b model.Backend, version uint64) member.Item {
 	data, err := cbor.Marshal(body{
 		Service: b.Service, State: b.State, Incarnation: b.Incarnation,
 		Packet: b.Packet, Request: b.Request, Stream: b.Stream,
-		Slots: b.Slots, Weight: b.Weight, Load: float32(b.Load), LeaseMS: b.Lease.Milliseconds(),
+		Slots: b.Slots, Weight: b.Weight, Load: float32(b.Load), LeaseMS: b.Lease.Milliseconds(), Silent: b.Silent,
 	})
 	if err != nil {
 		panic(err) // the types are fixed
@@ -56,7 +57,7 @@
 		ID: id, Service: d.Service, Zone: i.Zone, State: d.State, Incarnation: d.Incarnation,
 		Packet: d.Packet, Request: d.Request, Stream: d.Stream,
 		Slots: d.Slots, Weight: d.Weight, Load: float64(d.Load),
-		Lease: grantedLease(time.Duration(d.LeaseMS) * time.Millisecond),
+		Lease: grantedLease(time.Duration(d.LeaseMS) * time.Millisecond), Silent: d.Silent,
 	}, nil
 }
 
--- a/internal/registry/lease.go
+++ b/internal/registry/lease.go
@@ -87,8 +87,13 @@
 	}
 }
 
-// expire buries the backend servers whose lease has run out on their keeper. A
-// host that becomes the keeper grants a whole lease first.
+// SilentHold is how long a backend server whose lease has run out keeps its
+// flows. The hosts that it announced to may be gone, not itself.
+const SilentHold = 30 * time.Second
+
+// expire ends the leases that have run out on their keeper: the backend server
+// takes no new work at first, and is buried after SilentHold. A host that
+// becomes the keeper grants a whole lease first.
 func (r *Registry) expire(now time.Time) []member.Item {
 	var items []member.Item
 	for _, id := range slices.Sorted(maps.Keys(r.all)) {
@@ -104,8 +109,12 @@
 			a.until = now.Add(a.backend.Lease)
 		}
 		a.keeping = keeps
-		if keeps && now.After(a.until) {
+		switch {
+		case !keeps || !now.After(a.until):
+		case now.After(a.until.Add(SilentHold)):
 			items = append(items, r.bury(now, id))
+		case !a.backend.Silent:
+			items = append(items, r.silence(now, id))
 		}
 	}
 	return items
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -201,7 +201,21 @@
 func (r *Registry) bury(now time.Time, id string) member.Item {
 	b := r.all[id].backend
 	b.State = model.Gone
-	version := r.nextVersion(now, id)
+	return r.mark(now, b)
+}
+
+// silence marks a backend server whose lease has run out. The end of the lease
+// stays, since the time until it is buried counts from there.
+func (r *Registry) silence(now time.Time, id string) member.Item {
+	b, until := r.all[id].backend, r.all[id].until
+	b.Silent = true
+	item := r.mark(now, b)
+	r.all[id].until = until
+	return item
+}
+
+func (r *Registry) mark(now time.Time, b model.Backend) member.Item {
+	version := r.nextVersion(now, b.ID)
 	r.put(now, b, version)
 	return itemOf(b, version)
 }
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -156,6 +156,8 @@
 
 func (p *pair) state(host string) model.BackendState { return p.all[host].Backends()[0].State }
 
+func (p *pair) silent(host string) bool { return p.all[host].Backends()[0].Silent }
+
 func TestLease(t *testing.T) {
 	for n := range 8 { // the keeper is one or the other
 		c := qt.New(t)
@@ -166,10 +168,15 @@
 		c.Check(p.state("a"), qt.Equals, model.Ready)
 		c.Check(p.state("b"), qt.Equals, model.Ready)
 		p.run(7*time.Second, "", b)
+		c.Check(p.silent("a"), qt.IsTrue)
+		c.Check(p.silent("b"), qt.IsTrue)
+		c.Check(p.state("a"), qt.Equals, model.Ready)
+		p.run(registry.SilentHold, "", b)
 		c.Check(p.state("a"), qt.Equals, model.Gone)
 		c.Check(p.state("b"), qt.Equals, model.Gone)
 		p.run(2*time.Second, "a", b) // it lives after all
 		c.Check(p.state("b"), qt.Equals, model.Ready)
+		c.Check(p.silent("b"), qt.IsFalse)
 	}
 }
 
@@ -183,6 +190,8 @@
 		p.run(10*time.Second, "a", b)
 		c.Check(p.state("a"), qt.Equals, model.Ready)
 		p.run(12*time.Second, "", b)
+		c.Check(p.silent("a"), qt.IsTrue)
+		p.run(registry.SilentHold, "", b)
 		c.Check(p.state("a"), qt.Equals, model.Gone)
 	}
 }
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"greengagequay/internal/api"
@@ -46,6 +47,7 @@
 	wg          sync.WaitGroup
 	mu          sync.Mutex
 	state       model.BackendState
+	muted       atomic.Bool
 }
 
 // Start starts a stand-in that announces itself as ready.
@@ -96,9 +98,15 @@
 	return s.announce(ctx)
 }
 
+// Mute stops the announcements, or lets them go on. The backend server serves
+// all the same.
+func (s *Server) Mute(muted bool) { s.muted.Store(muted) }
+
 func (s *Server) announceLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		_ = s.announce(ctx) // repeated at the next interval
+		if !s.muted.Load() {
+			_ = s.announce(ctx) // repeated at the next interval
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(announceInterval):
