--- a/internal/follow/spread_test.go
+++ b/internal/follow/spread_test.go
@@ -1,7 +1,6 @@
 package follow
 
 import (
-	"container/heap"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -12,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"greengagequay/internal/model"
+	"greengagequay/internal/simtime"
 )
 
 var seeds = flag.Int("seeds", 2, "number of seeds")
@@ -22,28 +22,9 @@
 	resendTime = 200 * time.Millisecond // of a lost TCP segment, doubled each time
 )
 
-// event is a step of the driver at a point of fake time.
-type event struct {
-	at  time.Time
-	seq int
-	do  func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any     { old := *e; x := old[len(old)-1]; *e = old[:len(old)-1]; return x }
-
 // spreadNet runs the cores of many hosts in fake time.
 type spreadNet struct {
-	now     time.Time
-	seq     int
-	queue   events
+	simtime.Scheduler
 	rand    *rand.Rand
 	hosts   []model.Host
 	control []Source
@@ -62,7 +43,7 @@
 }
 
 func newSpreadNet(seed uint64, zones, perZone int) *spreadNet {
-	n := &spreadNet{now: epoch, rand: rand.New(rand.NewPCG(seed, 1)), control: controlSources(3), nodes: map[string]*spreadNode{}}
+	n := &spreadNet{Scheduler: simtime.Scheduler{Now: epoch}, rand: rand.New(rand.NewPCG(seed, 1)), control: controlSources(3), nodes: map[string]*spreadNode{}}
 	for z := range zones {
 		n.hosts = append(n.hosts, zoneOf(perZone, fmt.Sprintf("zone-%d", z))...)
 	}
@@ -73,25 +54,11 @@
 		node := &spreadNode{net: n, name: h.Name, core: New()}
 		node.core.SetSources(Sources(h.Name, n.hosts, n.control))
 		n.nodes[h.Name] = node
-		n.after(0, node.pull)
+		n.After(0, node.pull)
 	}
 	return n
 }
 
-func (n *spreadNet) after(d time.Duration, do func()) {
-	n.seq++
-	heap.Push(&n.queue, event{at: n.now.Add(d), seq: n.seq, do: do})
-}
-
-func (n *spreadNet) runUntil(end time.Time) {
-	for n.queue.Len() > 0 && !n.queue[0].at.After(end) {
-		e := heap.Pop(&n.queue).(event)
-		n.now = e.at
-		e.do()
-	}
-	n.now = end
-}
-
 // delay returns the time a message takes over TCP: lost segments come again.
 func (n *spreadNet) delay() time.Duration {
 	d, again := linkDelay, resendTime
@@ -103,28 +70,28 @@
 }
 
 func (s *spreadNode) pull() {
-	source, wait, ok := s.core.Next(s.net.now)
+	source, wait, ok := s.core.Next(s.net.Now)
 	if !ok || wait > 0 {
-		s.net.after(max(wait, linkDelay), s.pull)
+		s.net.After(max(wait, linkDelay), s.pull)
 		return
 	}
 	done := false
-	s.net.after(PullTimeout, func() {
+	s.net.After(PullTimeout, func() {
 		if !done {
 			done = true
-			s.core.Failed(s.net.now, source.Name)
+			s.core.Failed(s.net.Now, source.Name)
 			s.pull()
 		}
 	})
 	after := s.revision
-	s.net.after(s.net.delay(), func() {
+	s.net.After(s.net.delay(), func() {
 		s.net.nodes[source.Name].serve(after, func(revision uint64) {
-			s.net.after(s.net.delay(), func() {
+			s.net.After(s.net.delay(), func() {
 				if done {
 					return
 				}
 				done = true
-				s.core.Pulled(s.net.now, source.Name, 0)
+				s.core.Pulled(s.net.Now, source.Name, 0)
 				s.set(revision)
 				s.pull()
 			})
@@ -149,14 +116,14 @@
 		return
 	}
 	s.waiting = append(s.waiting, reply)
-	s.net.after(PullWait, reply)
+	s.net.After(PullWait, reply)
 }
 
 func (s *spreadNode) set(revision uint64) {
 	if revision <= s.revision {
 		return
 	}
-	s.revision, s.at = revision, s.net.now
+	s.revision, s.at = revision, s.net.Now
 	waiting := s.waiting
 	s.waiting = nil
 	for _, reply := range waiting {
@@ -167,11 +134,11 @@
 // commit puts a revision on the control hosts and returns, for each host, how
 // long it took to be in force there.
 func (n *spreadNet) commit(revision uint64) []time.Duration {
-	start := n.now
+	start := n.Now
 	for _, s := range n.control {
-		n.after(0, func() { n.nodes[s.Name].set(revision) })
+		n.After(0, func() { n.nodes[s.Name].set(revision) })
 	}
-	n.runUntil(n.now.Add(30 * time.Second))
+	n.Run(30 * time.Second)
 	var took []time.Duration
 	for _, h := range n.hosts {
 		node := n.nodes[h.Name]
@@ -208,7 +175,7 @@
 			c := qt.New(t)
 			for seed := range *seeds {
 				n := newSpreadNet(uint64(seed), tc.zones, tc.perZone)
-				n.runUntil(epoch.Add(10 * time.Second))
+				n.Run(10 * time.Second)
 				var all []time.Duration
 				for revision := uint64(1); revision <= 20; revision++ {
 					all = append(all, n.commit(revision)...)
@@ -227,7 +194,7 @@
 	c := qt.New(t)
 	for seed := range *seeds {
 		n := newSpreadNet(uint64(seed), 3, 64)
-		n.runUntil(epoch.Add(10 * time.Second))
+		n.Run(10 * time.Second)
 		root := zoneMembers(n.hosts[0].Name, n.hosts)[0]
 		n.nodes[root.Name].silent = true
 		took := n.commit(1)
--- a/internal/oncekey/core_test.go
+++ b/internal/oncekey/core_test.go
@@ -25,15 +25,15 @@
 		w := newWorld(seed, 6)
 		w.timed = seed%4 != 0
 		for at := time.Duration(0); at < 75*time.Second; at += 20 * time.Millisecond {
-			w.after(at, w.caller)
+			w.After(at, w.caller)
 		}
 		for at := 4 * time.Second; at < 40*time.Second; at += 1500 * time.Millisecond {
-			w.after(at, w.disturb)
+			w.After(at, w.disturb)
 		}
-		w.after(48*time.Second, w.heal)
-		w.run(66 * time.Second)
+		w.After(48*time.Second, w.heal)
+		w.Run(66 * time.Second)
 		before := len(w.runs)
-		w.run(20 * time.Second)
+		w.Run(20 * time.Second)
 		for key, n := range w.runs {
 			c.Assert(n, qt.Equals, 1, qt.Commentf("seed %d: key %s ran %d times", seed, key, n))
 		}
@@ -65,10 +65,10 @@
 
 func (w *world) caller() {
 	w.attempts++
-	key, made := fmt.Sprintf("k%d", w.attempts), w.now
+	key, made := fmt.Sprintf("k%d", w.attempts), w.Now
 	w.request(w.nodes[w.rand.IntN(len(w.nodes))], key, made)
 	for _, d := range []time.Duration{0, time.Millisecond, 100 * time.Millisecond, time.Second, 3 * time.Second, 9 * time.Second} {
-		w.after(d, func() { w.request(w.nodes[w.rand.IntN(len(w.nodes))], key, made) })
+		w.After(d, func() { w.request(w.nodes[w.rand.IntN(len(w.nodes))], key, made) })
 	}
 }
 
@@ -87,20 +87,20 @@
 		w.restart(n)
 	case kind == 0:
 		n.alive = false
-		w.after(3*time.Second, func() { w.publish(nil) })
+		w.After(3*time.Second, func() { w.publish(nil) })
 	case kind == 1:
 		n.alive = false
 		w.restart(n)
 	case kind == 2: // frozen, and given up meanwhile
-		n.until = w.now.Add(time.Duration(w.rand.IntN(8000)) * time.Millisecond)
-		w.after(3*time.Second, func() { w.publish(n) })
-		w.after(4*time.Second, func() { w.publish(nil) })
+		n.until = w.Now.Add(time.Duration(w.rand.IntN(8000)) * time.Millisecond)
+		w.After(3*time.Second, func() { w.publish(n) })
+		w.After(4*time.Second, func() { w.publish(nil) })
 	case kind == 3: // a group that holds home and backup is cut off
 		for i, peer := range w.nodes {
 			peer.cut = i%2 == w.rand.IntN(2) || peer == n
 		}
-		w.after(3*time.Second, func() { w.publish(nil) })
-		w.after(6*time.Second, func() {
+		w.After(3*time.Second, func() { w.publish(nil) })
+		w.After(6*time.Second, func() {
 			for _, peer := range w.nodes {
 				peer.cut = false
 			}
@@ -108,7 +108,7 @@
 		})
 	default: // changes twice in a row
 		w.publish(n)
-		w.after(time.Duration(w.rand.IntN(200))*time.Millisecond, func() { w.publish(nil) })
+		w.After(time.Duration(w.rand.IntN(200))*time.Millisecond, func() { w.publish(nil) })
 	}
 }
 
--- a/internal/oncekey/world_test.go
+++ b/internal/oncekey/world_test.go
@@ -1,35 +1,15 @@
 package oncekey
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"greengagequay/internal/fence"
+	"greengagequay/internal/simtime"
 )
 
-type event struct {
-	at  time.Time
-	seq int
-	do  func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 // node is an entry host. A cut node reaches only other cut nodes, and gets no
 // tables.
 type node struct {
@@ -53,10 +33,8 @@
 
 // world drives the cores of several hosts for one shard.
 type world struct {
+	simtime.Scheduler
 	rand     *rand.Rand
-	now      time.Time
-	queue    events
-	seq      int
 	nodes    []*node
 	tables   [][]member
 	runs     map[string]int  // by key, at the backend server
@@ -69,7 +47,7 @@
 }
 
 func newWorld(seed uint64, hosts int) *world {
-	w := &world{rand: rand.New(rand.NewPCG(seed, 2)), now: time.Unix(1000, 0), timed: true,
+	w := &world{rand: rand.New(rand.NewPCG(seed, 2)), Scheduler: simtime.Scheduler{Now: time.Unix(1000, 0)}, timed: true,
 		runs: map[string]int{}, ran: map[string]bool{}, refused: map[string]bool{}, outcomes: map[string]int{}, tables: [][]member{nil}}
 	for i := range hosts {
 		n := &node{name: fmt.Sprintf("h%d", i), zone: fmt.Sprintf("z%d", i%3), inc: 1, rev: 1, alive: true}
@@ -84,29 +62,14 @@
 	return w
 }
 
-func (w *world) after(d time.Duration, do func()) {
-	w.seq++
-	heap.Push(&w.queue, event{w.now.Add(d), w.seq, do})
-}
-
-func (w *world) run(d time.Duration) {
-	end := w.now.Add(d)
-	for len(w.queue) > 0 && !w.queue[0].at.After(end) {
-		e := heap.Pop(&w.queue).(event)
-		w.now = e.at
-		e.do()
-	}
-	w.now = end
-}
-
 // on runs do in the host's process after a delay; a frozen one when it wakes.
 func (w *world) on(n *node, d time.Duration, do func()) {
 	inc := n.inc
-	w.after(d, func() {
+	w.After(d, func() {
 		switch {
 		case !n.alive || n.inc != inc:
-		case w.now.Before(n.until):
-			w.on(n, n.until.Sub(w.now), do)
+		case w.Now.Before(n.until):
+			w.on(n, n.until.Sub(w.Now), do)
 		default:
 			do()
 		}
@@ -203,7 +166,7 @@
 	for _, m := range w.tables[n.rev] {
 		if m.name == n.name && m.num != n.num {
 			n.num = m.num
-			n.core.Rejoin(w.now)
+			n.core.Rejoin(w.Now)
 		}
 	}
 }
@@ -233,9 +196,9 @@
 			}
 		}
 		return false
-	}, w.now)
+	}, w.Now)
 	if !n.cut && n.rev == len(w.tables)-1 {
-		n.core.Renew(w.now)
+		n.core.Renew(w.Now)
 	}
 	w.gather(n)
 	w.sync(n)
@@ -250,32 +213,32 @@
 				return // it may not know yet that it was dropped
 			}
 			w.rejoin(peer)
-			report, ok := peer.core.Fence(claim, w.now)
+			report, ok := peer.core.Fence(claim, w.Now)
 			known := peer.core.Epoch()
 			w.send(peer, n, func() {
 				if !ok {
 					n.core.Outbid(known)
 					return
 				}
-				n.core.Reported(name, claim.Epoch, report, w.now)
+				n.core.Reported(name, claim.Epoch, report, w.Now)
 			})
 		})
 	}
 }
 
 func (w *world) sync(n *node) {
-	s, ok := n.core.Pending(w.now)
+	s, ok := n.core.Pending(w.Now)
 	if !ok {
 		return
 	}
 	if n.backup == "" {
-		n.core.Open(s.Claim.Epoch, w.now)
+		n.core.Open(s.Claim.Epoch, w.Now)
 		return
 	}
 	peer := w.find(n.backup)
 	w.send(n, peer, func() {
-		if peer.core.Sync(s, w.now) {
-			w.send(peer, n, func() { n.core.Open(s.Claim.Epoch, w.now) })
+		if peer.core.Sync(s, w.Now) {
+			w.send(peer, n, func() { n.core.Open(s.Claim.Epoch, w.Now) })
 		}
 	})
 }
@@ -296,7 +259,7 @@
 	}
 	h := w.find(home.name)
 	w.send(n, h, func() {
-		d := h.core.Begin(b, w.now)
+		d := h.core.Begin(b, w.Now)
 		if d.Verdict != Run || h.backup == "" {
 			w.send(h, n, func() { w.decided(n, h, b, d) })
 			return
@@ -304,7 +267,7 @@
 		m := Copy{Claim: fence.Mark{Epoch: d.Epoch, Home: h.process()}, Record: d.Record}
 		k := w.find(h.backup)
 		w.send(h, k, func() {
-			if !k.core.Copy(m, w.now) {
+			if !k.core.Copy(m, w.Now) {
 				w.send(k, h, func() { h.core.Resync(d.Epoch) })
 				return
 			}
@@ -321,7 +284,7 @@
 			w.wrong++
 		}
 	case Run:
-		if w.rand.IntN(5) == 0 || !n.core.Start(d.Record, d.Epoch, w.now) {
+		if w.rand.IntN(5) == 0 || !n.core.Start(d.Record, d.Epoch, w.Now) {
 			w.refused[b.Attempt] = true // certainly not sent
 			w.send(n, h, func() { h.core.Abort(b.Key, b.Attempt) })
 			return
@@ -342,10 +305,10 @@
 		return
 	}
 	w.send(n, h, func() {
-		r, ok := h.core.Finish(b.Key, b.Attempt, Answer{Body: []byte(b.Key)}, w.now)
+		r, ok := h.core.Finish(b.Key, b.Attempt, Answer{Body: []byte(b.Key)}, w.Now)
 		if k := w.find(h.backup); ok && k != nil {
 			m := Copy{Claim: fence.Mark{Epoch: h.core.Claims(), Home: h.process()}, Record: r}
-			w.send(h, k, func() { k.core.Copy(m, w.now) })
+			w.send(h, k, func() { k.core.Copy(m, w.Now) })
 		}
 		w.send(h, n, func() { n.core.End(b.Key, b.Attempt) })
 	})
@@ -353,7 +316,7 @@
 
 func (w *world) restart(n *node) {
 	n.alive, n.cut, n.inc, n.rev, n.pair = true, false, n.inc+1, 0, ""
-	n.core = New(n.process(), w.now.UnixMicro())
+	n.core = New(n.process(), w.Now.UnixMicro())
 	w.on(n, 0, func() { w.tend(n) })
 	w.publish(nil)
 }
--- a/internal/slots/compare_test.go
+++ b/internal/slots/compare_test.go
@@ -1,7 +1,6 @@
 package slots
 
 import (
-	"container/heap"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -11,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"greengagequay/internal/fence"
+	"greengagequay/internal/simtime"
 )
 
 var seconds = flag.Int("seconds", 20, "simulated seconds of each run")
@@ -48,11 +48,9 @@
 // sim is a discrete-event run of one policy: Poisson arrivals at random hosts,
 // exponential service times, and cores as homes.
 type sim struct {
+	simtime.Scheduler
 	load
 	rand    *rand.Rand
-	now     time.Time
-	queue   events
-	seq     int
 	cores   []*Core
 	hints   [][]Load // by host and server
 	local   [][]int  // by host and server
@@ -73,19 +71,19 @@
 )
 
 func simulate(l load) outcome {
-	s := &sim{load: l, rand: rand.New(rand.NewPCG(l.seed, 3)), now: time.Unix(1, 0), waiting: map[string]func(bool){}}
+	s := &sim{load: l, rand: rand.New(rand.NewPCG(l.seed, 3)), Scheduler: simtime.Scheduler{Now: time.Unix(1, 0)}, waiting: map[string]func(bool){}}
 	s.offered, s.ran = map[string]int{}, map[string]int{}
 	for range l.hosts {
 		s.hints = append(s.hints, make([]Load, l.servers))
 		s.local = append(s.local, make([]int, l.servers))
 	}
 	for range l.servers {
-		s.cores = append(s.cores, simHome(Params{Slots: l.slots, Queue: 8, MaxHold: time.Minute}, s.now))
+		s.cores = append(s.cores, simHome(Params{Slots: l.slots, Queue: 8, MaxHold: time.Minute}, s.Now))
 	}
 	s.busy, s.since = make([]int, l.servers), make([]time.Time, l.servers)
 	s.area, s.total = make([]time.Duration, l.servers), make([]time.Duration, l.servers)
 	for i := range s.since {
-		s.since[i] = s.now
+		s.since[i] = s.Now
 	}
 	capacity := float64(l.servers*l.slots) / meanService.Seconds()
 	for i := range 4 {
@@ -95,14 +93,9 @@
 		s.arrive("flood", capacity*l.flood)
 	}
 	for w := 1; w <= l.seconds/l.window; w++ {
-		s.at(time.Duration(w*l.window)*time.Second, s.closeWindow)
-	}
-	end := s.now.Add(time.Duration(l.seconds) * time.Second)
-	for s.queue[0].at.Before(end) || s.queue[0].at.Equal(end) {
-		e := heap.Pop(&s.queue).(event)
-		s.now = e.at
-		e.do()
+		s.After(time.Duration(w*l.window)*time.Second, s.closeWindow)
 	}
+	s.Run(time.Duration(l.seconds) * time.Second)
 	s.imbalance /= float64(l.seconds / l.window)
 	var sum time.Duration
 	for _, t := range s.total {
@@ -121,15 +114,10 @@
 	return c
 }
 
-func (s *sim) at(d time.Duration, do func()) {
-	s.seq++
-	heap.Push(&s.queue, event{s.now.Add(d), s.seq, do})
-}
-
 func (s *sim) arrive(customer string, rate float64) {
-	s.at(time.Duration(s.rand.ExpFloat64()/rate*float64(time.Second)), func() {
+	s.After(time.Duration(s.rand.ExpFloat64()/rate*float64(time.Second)), func() {
 		s.offered[customer]++
-		s.try(s.rand.IntN(s.hosts), customer, s.now, map[int]bool{})
+		s.try(s.rand.IntN(s.hosts), customer, s.Now, map[int]bool{})
 		s.arrive(customer, rate)
 	})
 }
@@ -147,10 +135,10 @@
 	}
 	s.next++
 	id := fmt.Sprint(s.next)
-	s.at(hop, func() {
-		a := s.cores[server].Acquire(Request{Attempt: id, Customer: customer, Holder: "x", Remaining: patience - s.now.Sub(born)}, s.now)
+	s.After(hop, func() {
+		a := s.cores[server].Acquire(Request{Attempt: id, Customer: customer, Holder: "x", Remaining: patience - s.Now.Sub(born)}, s.Now)
 		settle := func(granted bool) {
-			s.at(hop, func() {
+			s.After(hop, func() {
 				s.hints[host][server] = a.Load
 				if !granted {
 					s.try(host, customer, born, tried)
@@ -168,7 +156,7 @@
 			settle(true)
 		case Queued:
 			s.waiting[id] = settle
-			s.at(patience, func() { s.settle(id, false); s.cores[server].Tick(s.now) })
+			s.After(patience, func() { s.settle(id, false); s.cores[server].Tick(s.Now) })
 		default:
 			settle(false)
 		}
@@ -183,8 +171,8 @@
 }
 
 func (s *sim) release(server int, id string, host int) {
-	s.at(hop, func() {
-		for _, next := range s.cores[server].Release(id, s.now) {
+	s.After(hop, func() {
+		for _, next := range s.cores[server].Release(id, s.Now) {
 			s.settle(next, true)
 		}
 		s.hints[host][server] = s.cores[server].home.load()
@@ -218,14 +206,14 @@
 
 func (s *sim) send(host, server int, done func()) {
 	s.local[host][server]++
-	s.at(hop, func() {
+	s.After(hop, func() {
 		if s.busy[server] >= s.slots {
 			s.exceeded++
 		}
 		s.change(server, 1)
-		s.at(time.Duration(s.rand.ExpFloat64()*float64(meanService)), func() {
+		s.After(time.Duration(s.rand.ExpFloat64()*float64(meanService)), func() {
 			s.change(server, -1)
-			s.at(hop, func() { s.local[host][server]--; done() })
+			s.After(hop, func() { s.local[host][server]--; done() })
 		})
 	})
 }
@@ -238,10 +226,10 @@
 }
 
 func (s *sim) account(server int) {
-	t := s.now.Sub(s.since[server]) * time.Duration(min(s.busy[server], s.slots))
+	t := s.Now.Sub(s.since[server]) * time.Duration(min(s.busy[server], s.slots))
 	s.area[server] += t
 	s.total[server] += t
-	s.since[server] = s.now
+	s.since[server] = s.Now
 }
 
 func (s *sim) closeWindow() {
--- a/internal/slots/core_test.go
+++ b/internal/slots/core_test.go
@@ -23,15 +23,15 @@
 			w.tend(n)
 		}
 		for at := time.Duration(0); at < 50*time.Second; at += 10 * time.Millisecond {
-			w.after(at, func() { w.traffic() })
+			w.After(at, func() { w.traffic() })
 		}
 		for at := time.Second; at < 35*time.Second; at += 1500 * time.Millisecond {
-			w.after(at, w.disturb)
+			w.After(at, w.disturb)
 		}
-		w.after(35*time.Second, w.heal)
-		w.run(45 * time.Second)
+		w.After(35*time.Second, w.heal)
+		w.Run(45 * time.Second)
 		before := w.ran
-		w.run(5 * time.Second)
+		w.Run(5 * time.Second)
 		c.Assert(w.most <= 3, qt.IsTrue, qt.Commentf("seed %d: %d requests at once", seed, w.most))
 		c.Assert(w.ran-before > 20, qt.IsTrue, qt.Commentf("seed %d: only %d requests ran after the last disturbance", seed, w.ran-before))
 		ran += w.ran
@@ -41,7 +41,7 @@
 
 func (w *world) traffic() {
 	n := w.nodes[w.rand.IntN(len(w.nodes))]
-	if n.alive && !w.now.Before(n.until) {
+	if n.alive && !w.Now.Before(n.until) {
 		w.attempt(n)
 	}
 }
@@ -68,18 +68,18 @@
 		w.publish(nil)
 	case kind == 0:
 		w.crash(n)
-		w.after(300*time.Millisecond, func() { w.publish(nil) })
+		w.After(300*time.Millisecond, func() { w.publish(nil) })
 	case kind == 1: // crash and quick restart, before the table tells
 		w.crash(n)
 		w.restart(n)
-		w.after(300*time.Millisecond, func() { w.publish(nil) })
+		w.After(300*time.Millisecond, func() { w.publish(nil) })
 	case kind == 2: // frozen, and given up meanwhile
-		n.until = w.now.Add(time.Duration(w.rand.IntN(6000)) * time.Millisecond)
+		n.until = w.Now.Add(time.Duration(w.rand.IntN(6000)) * time.Millisecond)
 		w.publish(map[string]bool{n.name: true})
-		w.after(time.Second, func() { w.publish(nil) })
+		w.After(time.Second, func() { w.publish(nil) })
 	default: // the home moves away and at once back
 		w.publish(map[string]bool{n.name: true})
-		w.after(time.Duration(w.rand.IntN(100))*time.Millisecond, func() { w.publish(nil) })
+		w.After(time.Duration(w.rand.IntN(100))*time.Millisecond, func() { w.publish(nil) })
 	}
 }
 
--- a/internal/slots/world_test.go
+++ b/internal/slots/world_test.go
@@ -1,36 +1,14 @@
 package slots
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"greengagequay/internal/fence"
+	"greengagequay/internal/simtime"
 )
 
-// event is something that happens in a world.
-type event struct {
-	at  time.Time
-	seq int
-	do  func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	old := *e
-	last := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return last
-}
-
 // node is a host of a world.
 type node struct {
 	name  string
@@ -47,10 +25,8 @@
 // world drives the cores of several hosts before one backend server, with
 // delays, lost messages, crashes, freezes and tables that arrive unevenly.
 type world struct {
+	simtime.Scheduler
 	rand     *rand.Rand
-	now      time.Time
-	queue    events
-	seq      int
 	nodes    []*node
 	tables   [][]fence.Member // by revision
 	nums     []map[string]int // by revision; a host that returns gets a new one
@@ -62,7 +38,7 @@
 }
 
 func newWorld(seed uint64, hosts int, p Params) *world {
-	w := &world{rand: rand.New(rand.NewPCG(seed, 1)), now: time.UnixMicro(1000), params: p, running: map[string]struct{}{}}
+	w := &world{rand: rand.New(rand.NewPCG(seed, 1)), Scheduler: simtime.Scheduler{Now: time.UnixMicro(1000)}, params: p, running: map[string]struct{}{}}
 	var first []fence.Member
 	for i := range hosts {
 		n := &node{name: fmt.Sprintf("h%d", i), alive: true, inc: 1, rev: 1}
@@ -78,30 +54,15 @@
 	return w
 }
 
-func (w *world) after(d time.Duration, do func()) {
-	w.seq++
-	heap.Push(&w.queue, event{w.now.Add(d), w.seq, do})
-}
-
-func (w *world) run(d time.Duration) {
-	end := w.now.Add(d)
-	for len(w.queue) > 0 && !w.queue[0].at.After(end) {
-		e := heap.Pop(&w.queue).(event)
-		w.now = e.at
-		e.do()
-	}
-	w.now = end
-}
-
 // on runs do on a host after a delay, unless the process has ended by then. A
 // frozen process runs it when it wakes.
 func (w *world) on(n *node, d time.Duration, do func()) {
 	inc := n.inc
-	w.after(d, func() {
+	w.After(d, func() {
 		switch {
 		case !n.alive || n.inc != inc:
-		case w.now.Before(n.until):
-			w.on(n, n.until.Sub(w.now), do)
+		case w.Now.Before(n.until):
+			w.on(n, n.until.Sub(w.Now), do)
 		default:
 			do()
 		}
@@ -176,7 +137,7 @@
 func (w *world) rejoin(n *node) {
 	if num, ok := w.nums[n.rev][n.name]; ok && num != n.num {
 		n.num = num
-		n.core.Rejoin(w.now)
+		n.core.Rejoin(w.Now)
 	}
 }
 
@@ -193,10 +154,10 @@
 		for _, m := range w.tables[n.rev] {
 			hosts = append(hosts, m.Name)
 		}
-		n.core.Claim(fence.Epoch(n.rev), 1000, hosts, nil, w.params, w.now)
+		n.core.Claim(fence.Epoch(n.rev), 1000, hosts, nil, w.params, w.Now)
 	}
-	n.core.Listed(w.listed(n.rev), w.now)
-	granted, _ := n.core.Tick(w.now)
+	n.core.Listed(w.listed(n.rev), w.Now)
+	granted, _ := n.core.Tick(w.Now)
 	w.notify(n, granted)
 	w.claimAll(n)
 }
@@ -208,7 +169,7 @@
 	if claim.Epoch == 0 {
 		return
 	}
-	asked, acks := w.now, 0
+	asked, acks := w.Now, 0
 	rev := n.rev
 	for _, m := range w.tables[rev] {
 		peer := w.find(m.Name)
@@ -218,14 +179,14 @@
 				return
 			}
 			w.rejoin(peer)
-			report, ok := peer.core.Fence(claim, w.now)
+			report, ok := peer.core.Fence(claim, w.Now)
 			if !ok {
 				known := peer.core.Epoch()
 				w.send(n, func() { n.core.Outbid(known) })
 				return
 			}
 			w.send(n, func() {
-				n.core.Reported(peer.name, claim.Epoch, report, w.now)
+				n.core.Reported(peer.name, claim.Epoch, report, w.Now)
 				if acks++; acks == len(w.tables[rev])/2+1 {
 					n.core.Renew(claim.Epoch, asked)
 				}
@@ -242,14 +203,14 @@
 	}
 	w.attempts++
 	id := fmt.Sprintf("%s-%d", n.process(), w.attempts)
-	deadline := w.now.Add(time.Duration(100+w.rand.IntN(900)) * time.Millisecond)
+	deadline := w.Now.Add(time.Duration(100+w.rand.IntN(900)) * time.Millisecond)
 	w.send(home, func() {
-		a := home.core.Acquire(Request{Attempt: id, Holder: n.process(), Remaining: deadline.Sub(w.now)}, w.now)
+		a := home.core.Acquire(Request{Attempt: id, Holder: n.process(), Remaining: deadline.Sub(w.Now)}, w.Now)
 		if a.Verdict == Granted {
 			w.send(n, func() { w.start(n, id, a.Claim, deadline) })
 		}
 	})
-	w.on(n, deadline.Sub(w.now), func() { // a caller that gave up, whether it was granted or not
+	w.on(n, deadline.Sub(w.Now), func() { // a caller that gave up, whether it was granted or not
 		if _, running := n.core.running[id]; !running {
 			w.release(n, id)
 		}
@@ -269,18 +230,18 @@
 }
 
 func (w *world) start(n *node, id string, claim fence.Mark, deadline time.Time) {
-	if !n.core.Start(id, claim, deadline, w.now) {
+	if !n.core.Start(id, claim, deadline, w.Now) {
 		return
 	}
 	w.ran++
 	w.running[id] = struct{}{}
 	w.most = max(w.most, len(w.running))
-	left := deadline.Sub(w.now)
+	left := deadline.Sub(w.Now)
 	took := time.Duration(w.rand.Int64N(int64(120 * time.Millisecond)))
 	if w.rand.IntN(10) == 0 {
 		took = left + CancelGrace*9/10 // hangs, and is slow to be cancelled
 	}
-	w.after(took, func() {
+	w.After(took, func() {
 		delete(w.running, id)
 		w.on(n, 0, func() {
 			n.core.End(id)
@@ -293,7 +254,7 @@
 	name := n.core.Home()
 	for _, home := range w.nodes {
 		if home.process() == name {
-			w.send(home, func() { w.notify(home, home.core.Release(id, w.now)) })
+			w.send(home, func() { w.notify(home, home.core.Release(id, w.Now)) })
 		}
 	}
 }
@@ -304,7 +265,7 @@
 
 func (w *world) restart(n *node) {
 	n.alive, n.inc, n.rev = true, n.inc+1, 1
-	n.core = New(n.process(), w.now.UnixMicro())
+	n.core = New(n.process(), w.Now.UnixMicro())
 	w.on(n, 0, func() { w.tend(n) })
 	w.on(n, time.Duration(w.rand.IntN(200))*time.Millisecond, func() { n.rev = max(n.rev, len(w.tables)-1) })
 }
