Move the whole ranking of homes to the tests

Cause: since homes are found in one pass, only tests called fence.Rank. Change: it stands in fence's tests as the reference that First and Pair must agree with; the driver of slots calls First. No assertion changed.

--- a/internal/fence/fence_test.go
+++ b/internal/fence/fence_test.go
@@ -1,7 +1,9 @@
 package fence
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -54,7 +56,7 @@
 	members := []Member{{"a", "x"}, {"b", "x"}, {"c", "y"}, {"d", "y"}}
 	for i := range 200 {
 		unit := fmt.Sprint(i)
-		before, after := Rank(unit, "x", members), Rank(unit, "x", members[1:])
+		before, after := rank(unit, "x", members), rank(unit, "x", members[1:])
 		c.Assert(before[0].Zone, qt.Equals, "x")
 		if before[0].Name != "a" {
 			c.Assert(after[0], qt.Equals, before[0])
@@ -74,7 +76,7 @@
 		}
 		for unit := range 100 {
 			name := fmt.Sprint(unit)
-			ranked := Rank(name, "", members)
+			ranked := rank(name, "", members)
 			home, backup := Pair(name, members)
 			first, ok := First(name, members)
 			c.Assert(ok, qt.Equals, size > 0)
@@ -93,3 +95,35 @@
 		}
 	}
 }
+
+// rank returns the members in the order in which they are preferred as home
+// of the unit, by rendezvous hashing: when a member leaves, only its own units
+// move. Members of the zone come first; an empty zone prefers none.
+func rank(unit, zone string, members []Member) []Member {
+	type scored struct {
+		Member
+		score uint64
+	}
+	all := make([]scored, len(members))
+	for i, m := range members {
+		all[i] = scored{m, scoreOf(unit, m)}
+	}
+	slices.SortFunc(all, func(a, b scored) int {
+		if near := cmp.Compare(outside(a.Member, zone), outside(b.Member, zone)); near != 0 {
+			return near
+		}
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.Name, b.Name))
+	})
+	ranked := make([]Member, len(all))
+	for i, s := range all {
+		ranked[i] = s.Member
+	}
+	return ranked
+}
+
+func outside(m Member, zone string) int {
+	if zone == "" || m.Zone == zone {
+		return 0
+	}
+	return 1
+}
--- a/internal/fence/rendezvous.go
+++ b/internal/fence/rendezvous.go
@@ -1,11 +1,6 @@
 package fence
 
-import (
-	"cmp"
-	"slices"
-
-	"github.com/cespare/xxhash/v2"
-)
+import "github.com/cespare/xxhash/v2"
 
 // Member is a host that can be a home.
 type Member struct {
@@ -13,40 +8,9 @@
 	Zone string
 }
 
-// Rank returns the members in the order in which they are preferred as home
-// of the unit, by rendezvous hashing: when a member leaves, only its own units
-// move. Members of the zone come first; an empty zone prefers none.
-func Rank(unit, zone string, members []Member) []Member {
-	type scored struct {
-		Member
-		score uint64
-	}
-	all := make([]scored, len(members))
-	for i, m := range members {
-		all[i] = scored{m, scoreOf(unit, m)}
-	}
-	slices.SortFunc(all, func(a, b scored) int {
-		if near := cmp.Compare(outside(a.Member, zone), outside(b.Member, zone)); near != 0 {
-			return near
-		}
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.Name, b.Name))
-	})
-	ranked := make([]Member, len(all))
-	for i, s := range all {
-		ranked[i] = s.Member
-	}
-	return ranked
-}
-
-func outside(m Member, zone string) int {
-	if zone == "" || m.Zone == zone {
-		return 0
-	}
-	return 1
-}
-
-// First returns the first member of Rank, without ranking the others. It
-// reports false if there is none.
+// First returns the member that is preferred as home of the unit, by rendezvous
+// hashing: when a member leaves, only its own units move. It reports false if
+// there is none.
 func First(unit string, members []Member) (first Member, ok bool) {
 	var best uint64
 	for _, m := range members {
--- a/internal/slots/world_test.go
+++ b/internal/slots/world_test.go
@@ -91,11 +91,8 @@
 }
 
 func (w *world) homeOf(rev int) string {
-	ranked := fence.Rank("unit", "z", w.tables[rev])
-	if len(ranked) == 0 {
-		return ""
-	}
-	return ranked[0].Name
+	home, _ := fence.First("unit", w.tables[rev])
+	return home.Name
 }
 
 func (w *world) listed(rev int) func(string) bool {
