Serve the platform: token steering, document in the log, announcements over feeds

Cause: the users' platform hands packets to any entry host, offers no list of live hosts and keeps settings under the operator's own version. Change: a second way of affinity beside buckets (steering by tokens), a document in the replicated state (highest version wins), a catalog of announcements, feeds from control hosts to followers, rules for the members of the log, and platform/ with the names, formats and calls.

--- a/cmd/quayd/main.go
+++ b/cmd/quayd/main.go
@@ -5,6 +5,7 @@
 	"os"
 
 	"greengagequay/internal/daemon"
+	"greengagequay/platform"
 )
 
-func main() { os.Exit(daemon.Main(os.Args[1:], os.Stdout, os.Stderr)) }
+func main() { os.Exit(daemon.Main(os.Args[1:], platform.Adapter{}, os.Stdout, os.Stderr)) }
--- a/internal/control/engine.go
+++ b/internal/control/engine.go
@@ -83,7 +83,9 @@
 		return err
 	}
 	e.node, e.hard = node, hard
-	node.Campaign(now)
+	if members[0].ID == e.cfg.ID {
+		node.Campaign(now) // one of them, so that votes do not split
+	}
 	return nil
 }
 
--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -23,6 +23,11 @@
 	Addr      string   // RPC address of this host
 	Peers     []Peer   // control hosts of the settings
 	Bootstrap bool     // start a new log with the peers as its voters
+	// Founders are the voters of a new log, the same on each of them. Each
+	// starts it on its own, without asking the others.
+	Founders []raft.Member
+	Managed  bool // the leader adds, promotes and removes members by itself
+	Tuning   Tuning
 	Disk      wal.Disk // data folder
 	Replica   *replica.Replica
 	Transport Transport
@@ -33,6 +38,15 @@
 	Random    func() uint64 // unpredictable source of identities and of the seed of the flow hash
 }
 
+// Tuning replaces defaults for deployments with other needs. Zero values keep
+// the defaults.
+type Tuning struct {
+	QuorumReads     bool // see raft.Config
+	Tick            time.Duration
+	SnapshotEntries int
+	KeptEntries     uint64
+}
+
 // Peer is a control host of the settings.
 type Peer struct {
 	Name string
@@ -72,12 +86,15 @@
 
 // Open opens the data folder and takes part in the log until Close.
 func Open(o Options) (*Host, error) {
-	newID := func() raft.ID { return raft.ID(o.Random() | 1) }
+	newID := func() raft.ID { return o.newID() }
 	log, stored, err := wal.Open(o.Disk, newID)
 	if err != nil {
 		return nil, err
 	}
-	cfg := raft.Config{ElectionTimeout: electionTimeout, HeartbeatInterval: heartbeatInterval, Rand: o.Rand}
+	cfg := raft.Config{
+		ElectionTimeout: electionTimeout, HeartbeatInterval: heartbeatInterval, Rand: o.Rand,
+		QuorumReads: o.Tuning.QuorumReads,
+	}
 	e, err := newEngine(cfg, stored, log, o.Replica, 0)
 	if err != nil {
 		_ = log.Close()
@@ -88,6 +105,11 @@
 		Options: o, engine: e, started: o.Clock.Now(), cancel: cancel, metrics: newLogMetrics(o.Metrics),
 		requests: make(chan func(time.Duration), requestQueue), incoming: make(chan Envelope, messageQueue),
 	}
+	if err := h.tune(); err != nil {
+		cancel()
+		_ = log.Close()
+		return nil, err
+	}
 	e.seed = func() uint64 { return o.Random() | 1 }
 	e.send = func(addr string, m []raft.Message) { o.Transport.Send(addr, Envelope{Addr: o.Addr, Messages: m}) }
 	e.process(0)
@@ -97,6 +119,31 @@
 	return h, nil
 }
 
+// newID returns the identity for an empty data folder. The founders of a log
+// know each other's before they have met.
+func (o *Options) newID() raft.ID {
+	for _, m := range o.Founders {
+		if m.Name == o.Name {
+			return m.ID
+		}
+	}
+	return raft.ID(o.Random() | 1)
+}
+
+// tune applies the tuning and starts a new log if this host is a founder.
+func (h *Host) tune() error {
+	if n := h.Tuning.SnapshotEntries; n > 0 {
+		h.engine.snapEntries, h.engine.keep = n, h.Tuning.KeptEntries
+	}
+	if h.Tuning.Tick == 0 {
+		h.Tuning.Tick = tickInterval
+	}
+	if len(h.Founders) == 0 || !h.engine.blank(0) {
+		return nil
+	}
+	return h.engine.found(0, h.Founders)
+}
+
 func (h *Host) run(fn func()) {
 	h.done.Add(1)
 	go func() {
@@ -111,7 +158,7 @@
 // loop owns the engine. The time is read after an event was taken from its
 // queue: what the core concludes from it then holds at the time of the event.
 func (h *Host) loop(ctx context.Context) {
-	tick := h.Clock.After(tickInterval)
+	tick := h.Clock.After(h.Tuning.Tick)
 	for {
 		var request func(time.Duration)
 		var envelope Envelope
@@ -123,7 +170,7 @@
 		case envelope = <-h.incoming:
 		case <-tick:
 			ticked = true
-			tick = h.Clock.After(tickInterval)
+			tick = h.Clock.After(h.Tuning.Tick)
 		}
 		now := h.now()
 		if request != nil {
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -84,7 +84,7 @@
 			return nil, fault.New(fault.Invalid, "check name and address", "the host at %s is %q, not %q", c.Addr, id.Name, c.Name)
 		}
 		return func(m raft.Membership) (raft.Membership, error) {
-			if _, member := m.Find(id.ID); !member && !id.Blank {
+			if _, member := m.Find(id.ID); !member && !id.Blank && !h.Managed {
 				return m, fault.New(fault.Conflict, "start it with an empty data folder", "host %q has part in a log already", c.Name)
 			}
 			return m.Add(raft.Member{ID: id.ID, Name: c.Name, Addr: c.Addr})
@@ -111,6 +111,9 @@
 	if !h.status.Load().blank {
 		return
 	}
+	if h.Managed {
+		return
+	}
 	if !h.Bootstrap || len(h.Peers) == 0 || h.Peers[0].Name != h.Name {
 		h.Log.Infof("waits to be a member: 'quayctl control add %s %s'", h.Name, h.Addr)
 		return
@@ -168,3 +171,22 @@
 		return ctx.Err()
 	}
 }
+
+// View is what the rules for members need to know of the log.
+type View struct {
+	Self       raft.ID
+	Leads      bool
+	Membership raft.Membership
+	CaughtUp   map[raft.ID]bool // on the leader: members that hold all that is committed
+}
+
+// View returns what this host knows of the log.
+func (h *Host) View() View {
+	p := h.status.Load()
+	v := View{Self: p.status.ID, Membership: p.members, CaughtUp: map[raft.ID]bool{}}
+	v.Leads = p.status.Role == raft.Leader && p.blocked == nil
+	for id, match := range p.status.Match {
+		v.CaughtUp[id] = match >= p.status.Commit
+	}
+	return v
+}
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -13,6 +13,7 @@
 
 	"greengagequay/internal/clock"
 	"greengagequay/internal/config"
+	"greengagequay/internal/fleet"
 	"greengagequay/internal/logs"
 )
 
@@ -26,6 +27,12 @@
 type commands struct {
 	Run   runCmd   `cmd:"" help:"Run the host."`
 	Check checkCmd `cmd:"" help:"Check a settings file."`
+	Host  hostCmd  `cmd:"" help:"Run a host of a deployment whose packets carry tokens."`
+}
+
+type hostCmd struct {
+	Config string `help:"Settings of the host, JSON with comments." required:"" type:"path"`
+	Check  bool   `help:"Check the settings and exit."`
 }
 
 type runCmd struct {
@@ -38,7 +45,7 @@
 }
 
 // Main runs quayd and returns its exit code.
-func Main(args []string, out, errOut io.Writer) int {
+func Main(args []string, a fleet.Adapter, out, errOut io.Writer) int {
 	var c commands
 	parser, err := kong.New(&c, kong.Name("quayd"), kong.Description("A host of greengagequay, a layer-4 load balancer."), kong.Writers(out, errOut))
 	if err != nil {
@@ -50,13 +57,28 @@
 		fmt.Fprintln(errOut, "quayd:", err)
 		return exitUsage
 	}
-	if err := parsed.Run(); err != nil {
+	if err := parsed.Run(&hostEdge{adapter: a, out: out}); err != nil {
 		fmt.Fprintln(errOut, "quayd:", err)
 		return exitFailure
 	}
 	return exitOK
 }
 
+// hostEdge is what a host of the host command meets the outside through.
+type hostEdge struct {
+	adapter fleet.Adapter
+	out     io.Writer
+}
+
+// Run runs the host until it is told to stop.
+func (c *hostCmd) Run(edge *hostEdge) error {
+	if c.Check {
+		_, err := fleet.LoadConfig(c.Config)
+		return err
+	}
+	return fleet.Run(context.Background(), c.Config, edge.adapter, edge.out)
+}
+
 // Run checks the settings.
 func (c *checkCmd) Run() error {
 	_, err := config.Load(c.Config)
--- /dev/null
+++ b/internal/document/document.go
@@ -0,0 +1,81 @@
+// Package document is the operator's settings document: routes from addresses
+// to services, under a version that the operator numbers. The highest version
+// is in force. It is pure.
+package document
+
+import (
+	"net/netip"
+
+	"greengagequay/internal/fault"
+)
+
+// Document is one version of the settings.
+type Document struct {
+	Version     uint64
+	Routes      []Route
+	Services    []string
+	IdleTimeout uint32 // milliseconds after which an idle flow may be forgotten
+	Source      []byte // as the operator sent it, for reading it back
+}
+
+// Route sends the new flows of one address to services.
+type Route struct {
+	Name     string
+	Address  netip.AddrPort // to which callers open flows
+	Targets  []Target
+	Timeout  uint32 // milliseconds, of a request
+	Priority int    // 0 is the highest
+}
+
+// Target is a service that takes a part of a route's new flows.
+type Target struct {
+	Service string
+	Weight  uint32 // relative to the other targets of the route
+}
+
+const remedy = "correct the document and send it again"
+
+// Check returns why a document cannot be put in force, or nil.
+func (d *Document) Check() error {
+	if d.Version == 0 {
+		return fault.New(fault.Invalid, remedy, "the document has no version")
+	}
+	services := map[string]bool{}
+	for _, name := range d.Services {
+		if name == "" || services[name] {
+			return fault.New(fault.Invalid, remedy, "service %q is empty or stands twice", name)
+		}
+		services[name] = true
+	}
+	taken := map[netip.AddrPort]string{}
+	for _, r := range d.Routes {
+		if err := r.check(services); err != nil {
+			return err
+		}
+		if other, ok := taken[r.Address]; ok {
+			return fault.New(fault.Invalid, remedy, "routes %q and %q share the address %v", other, r.Name, r.Address)
+		}
+		taken[r.Address] = r.Name
+	}
+	return nil
+}
+
+func (r Route) check(services map[string]bool) error {
+	if !r.Address.IsValid() {
+		return fault.New(fault.Invalid, remedy, "route %q has no valid address", r.Name)
+	}
+	if r.Timeout == 0 {
+		return fault.New(fault.Invalid, remedy, "route %q has the timeout 0", r.Name)
+	}
+	weights := uint64(0)
+	for _, t := range r.Targets {
+		if !services[t.Service] {
+			return fault.New(fault.Invalid, remedy, "route %q names the unknown service %q", r.Name, t.Service)
+		}
+		weights += uint64(t.Weight)
+	}
+	if weights == 0 {
+		return fault.New(fault.Invalid, remedy, "route %q has no service with a weight above 0", r.Name)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/entry.go
@@ -0,0 +1,189 @@
+package fleet
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"greengagequay/internal/catalog"
+	"greengagequay/internal/document"
+	"greengagequay/internal/eventlog"
+	"greengagequay/internal/feed"
+	"greengagequay/internal/metrics"
+	"greengagequay/internal/steering"
+)
+
+// Times of an entry host.
+const (
+	entryTick     = 500 * time.Millisecond
+	coldTick      = 50 * time.Millisecond // until it knows enough to place flows
+	leaveLeadPart = 2                     // readiness fails for 1/2 of the grace before the host stops
+)
+
+// EntryHost steers packets of callers to backend servers.
+type EntryHost struct {
+	cfg     Config
+	log     *eventlog.Log
+	metrics *metrics.Registry
+	format  PacketFormat
+	links   *links
+	conn    *net.UDPConn
+	server  *http.Server
+	started time.Time
+	ctx     context.Context
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
+	counts  packetCounts
+
+	mu       sync.Mutex // guards the following
+	steerer  *steering.Steerer
+	catalog  *catalog.Catalog
+	document *document.Document
+	leaving  bool
+}
+
+// StartEntry starts an entry host.
+func StartEntry(cfg Config, a Adapter, log *eventlog.Log) (*EntryHost, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	h := &EntryHost{
+		cfg: cfg, log: log, metrics: metrics.New(), format: a.Packets(), started: time.Now(), ctx: ctx, cancel: cancel,
+		steerer: steering.New(cfg.Zone), catalog: catalog.New(catalog.Config{Interval: cfg.Heartbeat()}),
+	}
+	h.counts = newPacketCounts(h.metrics)
+	h.links = newLinks(ctx, feed.Presence{Name: cfg.Name, Zone: cfg.Zone, Addr: cfg.feedAddr()}, h, log)
+	h.links.seeds(cfg.seedFeeds())
+	if err := h.start(a); err != nil {
+		h.stopNow()
+		return nil, err
+	}
+	return h, nil
+}
+
+func (h *EntryHost) start(a Adapter) error {
+	packets, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort(h.cfg.Packets)))
+	if err != nil {
+		return unavailableAddress("packets", err)
+	}
+	h.conn = packets
+	ready, err := net.Listen("tcp", h.cfg.Ready)
+	if err != nil {
+		return unavailableAddress("ready", err)
+	}
+	h.server = &http.Server{Handler: a.Readiness(h.ready), ReadHeaderTimeout: time.Second}
+	h.run(func() { _ = h.server.Serve(ready) })
+	h.run(h.servePackets)
+	h.run(h.loop)
+	serveMetrics(h.ctx, h.cfg.Metrics, h.metrics, h.log)
+	return nil
+}
+
+func (h *EntryHost) run(fn func()) {
+	h.done.Add(1)
+	go func() {
+		defer h.done.Done()
+		fn()
+	}()
+}
+
+func (h *EntryHost) now() time.Duration { return time.Since(h.started) }
+
+// ready reports whether the host should get packets.
+func (h *EntryHost) ready() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.leaving && h.steerer.Table().Ready()
+}
+
+// loop does what is due from time to time.
+func (h *EntryHost) loop() {
+	for {
+		h.links.dial(h.wanted)
+		h.mu.Lock()
+		h.steerer.Forget(h.now())
+		pause := coldTick
+		if h.steerer.Table().Ready() {
+			pause = entryTick
+		}
+		h.mu.Unlock()
+		select {
+		case <-time.After(pause):
+		case <-h.ctx.Done():
+			return
+		}
+	}
+}
+
+// wanted returns the control hosts to follow.
+func (h *EntryHost) wanted(known []*knownHost) map[string]bool {
+	var hosts []candidate
+	for _, k := range known {
+		hosts = append(hosts, candidate{
+			addr: k.addr, zone: k.zone, open: k.link != nil && k.presence.Addr != "", current: k.current,
+		})
+	}
+	return follow(h.cfg.Zone, h.cfg.Name, hosts)
+}
+
+// Connected notes a followed control host.
+func (h *EntryHost) Connected(addr string, connected bool) {
+	h.mu.Lock()
+	h.catalog.Reachable(h.now(), addr, connected)
+	h.mu.Unlock()
+	h.log.Event("peer", "a followed control host came in touch or went out of it", eventlog.Fields{"address": addr, "connected": connected})
+}
+
+// Updated takes what a control host tells.
+func (h *EntryHost) Updated(addr string, u feed.Update) {
+	h.links.told(addr, u)
+	if u.Document == nil && len(u.Records) == 0 {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	changed := h.catalog.Merge(h.now(), addr, u.Records)
+	if u.Document != nil && (h.document == nil || u.Document.Version > h.document.Version) {
+		h.document = u.Document
+		changed = true
+		h.log.Event("version", "a document is in force", eventlog.Fields{"version": u.Document.Version, "from": addr})
+	}
+	if changed {
+		h.steerer.Use(steering.Build(h.document, h.catalog.Since(0, "")))
+		h.logBelief(addr, u.Records)
+	}
+}
+
+func (h *EntryHost) logBelief(from string, records []catalog.Record) {
+	for _, r := range records {
+		if !h.log.Allow("backend") {
+			continue
+		}
+		h.log.Write("backend", "learned about a backend server", eventlog.Fields{
+			"backend": r.ID, "service": r.Service, "status": r.Status.String(), "sequence": r.Sequence,
+			"born": r.Born, "from": from, "owner": r.Owner,
+		})
+	}
+}
+
+// Stop lets callers' packets move to other hosts, and then ends the host.
+func (h *EntryHost) Stop() {
+	h.mu.Lock()
+	h.leaving = true
+	h.mu.Unlock()
+	grace := time.Duration(h.cfg.GraceS * float64(time.Second))
+	time.Sleep(grace / leaveLeadPart)
+	h.stopNow()
+}
+
+func (h *EntryHost) stopNow() {
+	h.cancel()
+	if h.server != nil {
+		_ = h.server.Close()
+	}
+	if h.conn != nil {
+		_ = h.conn.Close()
+	}
+	h.done.Wait()
+}
--- /dev/null
+++ b/internal/fleet/hint.go
@@ -0,0 +1,103 @@
+package fleet
+
+import (
+	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"greengagequay/internal/catalog"
+	"greengagequay/internal/eventlog"
+)
+
+// hintPause is the least time between two writes of the hint.
+const hintPause = 2 * time.Second
+
+// hintFile keeps the known backend servers on disk. It is a hint: after a loss
+// of power hosts can place flows before backend servers have announced
+// themselves again. A missing or broken one only costs that time.
+type hintFile struct {
+	path     string
+	revision uint64
+	savedAt  time.Time
+	busy     atomic.Bool
+	failure  atomic.Pointer[error]
+}
+
+func newHintFile(folder string) *hintFile {
+	return &hintFile{path: filepath.Join(folder, "backends.hint")}
+}
+
+// save writes the records from a goroutine of its own, since the disk may hang.
+func (f *hintFile) save(revision uint64, records []catalog.Record) {
+	if revision == f.revision || time.Since(f.savedAt) < hintPause || f.busy.Load() {
+		return
+	}
+	f.revision, f.savedAt = revision, time.Now()
+	f.busy.Store(true)
+	go func() {
+		defer f.busy.Store(false)
+		if err := f.write(records); err != nil {
+			f.failure.Store(&err)
+		}
+	}()
+}
+
+func (f *hintFile) write(records []catalog.Record) error {
+	data, err := cbor.Marshal(records)
+	if err != nil {
+		return err
+	}
+	temporary := f.path + ".new"
+	file, err := os.Create(temporary)
+	if err != nil {
+		return err
+	}
+	_, err = file.Write(data)
+	if err == nil {
+		err = file.Sync()
+	}
+	if err := errors.Join(err, file.Close()); err != nil {
+		return err
+	}
+	if err := os.Rename(temporary, f.path); err != nil {
+		return err
+	}
+	folder, err := os.Open(filepath.Dir(f.path))
+	if err != nil {
+		return err
+	}
+	defer folder.Close()
+	return folder.Sync()
+}
+
+// load returns the records of the hint, and none if there is no hint.
+func (f *hintFile) load() ([]catalog.Record, error) {
+	data, err := os.ReadFile(f.path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	var records []catalog.Record
+	err = cbor.Unmarshal(data, &records)
+	return records, err
+}
+
+// recall fills the catalog from the hint.
+func (h *ControlHost) recall() {
+	records, err := h.hint.load()
+	if err != nil {
+		h.log.Event("hint", "goes on without the backend servers known before", eventlog.Fields{"error": err.Error()})
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.catalog.Merge(h.now(), "", records)
+	h.log.Event("hint", "recalled the backend servers known before", eventlog.Fields{"backends": len(records)})
+}
--- /dev/null
+++ b/internal/fleet/members.go
@@ -0,0 +1,78 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"greengagequay/internal/control"
+	"greengagequay/internal/council"
+	"greengagequay/internal/eventlog"
+	"greengagequay/internal/raft"
+)
+
+const memberChangeTimeout = time.Second
+
+// manageMembers makes the next change of the log's members, if this host leads.
+func (h *ControlHost) manageMembers() {
+	situation, leads := h.situation()
+	if !leads {
+		return
+	}
+	step, due := council.Next(situation)
+	if !due || !h.claimChange() {
+		return
+	}
+	h.run(func() { h.takeStep(step) })
+}
+
+func (h *ControlHost) claimChange() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	claimed := !h.changing
+	h.changing = true
+	return claimed
+}
+
+func (h *ControlHost) takeStep(step council.Step) {
+	ctx, cancel := context.WithTimeout(h.ctx, memberChangeTimeout)
+	defer cancel()
+	_, err := h.host.ChangeMemberHere(ctx, control.MemberChange{
+		Action: control.Action(step.Verb), Name: step.Member.Name, Addr: step.Member.Addr,
+	})
+	h.log.Event("members", "changed the members of the log", eventlog.Fields{
+		"verb": step.Verb, "member": step.Member.Name, "reason": step.Reason, "outcome": outcomeOf(err),
+	})
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.changing = false
+}
+
+// situation returns what the rules for members need to know, and whether this
+// host leads.
+func (h *ControlHost) situation() (council.Situation, bool) {
+	view := h.host.View()
+	s := council.Situation{
+		Self: view.Self, Membership: view.Membership, CaughtUp: view.CaughtUp,
+		Voters: h.cfg.voters(), Unseen: map[raft.ID]time.Duration{},
+	}
+	now := h.now()
+	open := h.links.open()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, p := range open {
+		s.Hosts = append(s.Hosts, council.Host{ID: p.ID, Addr: logAddr(p.Addr), Zone: p.Zone})
+		h.seenAt[p.ID] = now
+	}
+	s.Hosts = append(s.Hosts, council.Host{ID: view.Self, Addr: logAddr(h.cfg.feedAddr()), Zone: h.cfg.Zone})
+	h.seenAt[view.Self] = now
+	for _, m := range view.Membership.Members {
+		at, seen := h.seenAt[m.ID]
+		if !seen {
+			h.seenAt[m.ID] = now
+		}
+		if seen && at != now {
+			s.Unseen[m.ID] = now - at
+		}
+	}
+	return s, view.Leads
+}
--- /dev/null
+++ b/internal/fleet/packets.go
@@ -0,0 +1,118 @@
+package fleet
+
+import (
+	"errors"
+	"net"
+	"net/netip"
+
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"greengagequay/internal/eventlog"
+	"greengagequay/internal/metrics"
+	"greengagequay/internal/steering"
+)
+
+// packetCounts counts packets by what was done with them.
+type packetCounts struct {
+	byReason  map[steering.Reason]gometrics.Counter
+	malformed gometrics.Counter
+	unsent    gometrics.Counter
+}
+
+func newPacketCounts(m *metrics.Registry) packetCounts {
+	c := packetCounts{
+		byReason:  map[steering.Reason]gometrics.Counter{},
+		malformed: m.Counter("packets.malformed"),
+		unsent:    m.Counter("packets.unsent"),
+	}
+	for _, r := range steering.Reasons() {
+		c.byReason[r] = m.Counter("packets." + r.String())
+	}
+	return c
+}
+
+// servePackets reads packets and does what the steerer decides, until the host
+// stops.
+func (h *EntryHost) servePackets() {
+	buf := make([]byte, TargetBytes+maxDatagramBytes)
+	for {
+		n, _, err := h.conn.ReadFromUDPAddrPort(buf[TargetBytes:])
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue // of an earlier datagram that could not be delivered
+		}
+		h.steer(buf[:TargetBytes+n])
+	}
+}
+
+// steer handles one datagram. The bytes before it are free for the target.
+func (h *EntryHost) steer(buf []byte) {
+	datagram := buf[TargetBytes:]
+	packet, err := h.format.Parse(datagram)
+	if err != nil {
+		h.counts.malformed.Inc(1)
+		h.log.Event("malformed", "dropped a packet", eventlog.Fields{"error": err.Error()})
+		return
+	}
+	h.mu.Lock()
+	d := h.steerer.Decide(h.now(), packet)
+	version := h.steerer.Table().Version
+	h.mu.Unlock()
+	h.counts.byReason[d.Reason].Inc(1)
+	h.logDecision(datagram, packet, d, version)
+	switch d.Verdict {
+	case steering.Forward:
+		h.forward(buf, packet, d)
+	case steering.Refuse:
+		h.refuse(datagram, packet)
+	}
+}
+
+func (h *EntryHost) forward(buf []byte, p steering.Packet, d steering.Decision) {
+	if p.Opening {
+		h.format.SetToken(buf[TargetBytes:], d.Server.Token)
+	}
+	h.format.PutTarget(buf[:TargetBytes], d.Server.ID)
+	h.send(buf, d.Server.Address)
+}
+
+// refuse resets a flow. Callers are reached at the port of the host's own
+// packet address.
+func (h *EntryHost) refuse(datagram []byte, p steering.Packet) {
+	port := uint16(h.conn.LocalAddr().(*net.UDPAddr).Port)
+	h.send(h.format.AppendReset(nil, datagram), netip.AddrPortFrom(p.Caller.Addr(), port))
+}
+
+// send sends a datagram. A lost one is sent again by its sender.
+func (h *EntryHost) send(datagram []byte, to netip.AddrPort) {
+	if _, err := h.conn.WriteToUDPAddrPort(datagram, to); err != nil {
+		h.counts.unsent.Inc(1)
+		h.log.Event("unsent", "could not send a packet", eventlog.Fields{"to": to, "error": err.Error()})
+	}
+}
+
+// logDecision writes a line for each decision that places, refuses or drops. A
+// packet of an open flow only gets one if a request starts in it.
+func (h *EntryHost) logDecision(datagram []byte, p steering.Packet, d steering.Decision, version uint64) {
+	request := ""
+	if d.Reason == steering.ByToken {
+		if request = h.format.RequestID(datagram); request == "" {
+			return
+		}
+	}
+	if !h.log.Allow(d.Reason.String()) {
+		return
+	}
+	fields := eventlog.Fields{
+		"caller": p.Caller, "route": p.Route, "verdict": d.Verdict.String(), "copy": p.Copy, "version": version,
+	}
+	if request != "" {
+		fields["request"] = request
+	}
+	if d.Server != nil {
+		fields["backend"], fields["status"], fields["sequence"] = d.Server.ID, d.Server.Status.String(), d.Server.Sequence
+	}
+	h.log.Write(d.Reason.String(), "steered a packet", fields)
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -4,7 +4,11 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"io"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 
 	gometrics "github.com/rcrowley/go-metrics"
@@ -70,3 +74,32 @@
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(r.reg.GetAll())
 }
+
+// percentiles of a histogram that ServeText writes.
+var percentiles = []float64{0.5, 0.9, 0.99}
+
+// ServeText writes all metrics as text, one value a line: its name, a space
+// and the value.
+func (r *Registry) ServeText(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	var lines []string
+	r.reg.Each(func(name string, metric any) { lines = append(lines, textOf(name, metric)...) })
+	slices.Sort(lines)
+	_, _ = io.WriteString(w, strings.Join(lines, "\n")+"\n") // the reader has gone if this fails
+}
+
+func textOf(name string, metric any) []string {
+	switch m := metric.(type) {
+	case gometrics.Counter:
+		return []string{fmt.Sprintf("%s %d", name, m.Count())}
+	case gometrics.Gauge:
+		return []string{fmt.Sprintf("%s %d", name, m.Value())}
+	case gometrics.Histogram:
+		lines := []string{fmt.Sprintf("%s.count %d", name, m.Count())}
+		for i, v := range m.Percentiles(percentiles) {
+			lines = append(lines, fmt.Sprintf("%s.p%g %g", name, percentiles[i]*100, v))
+		}
+		return lines
+	}
+	return nil
+}
--- a/internal/raft/leader.go
+++ b/internal/raft/leader.go
@@ -107,7 +107,7 @@
 
 // leaseLeft returns for how long the lease holds if no quorum answers again.
 func (n *Node) leaseLeft() time.Duration {
-	if n.role != Leader || n.leaseGivenUp {
+	if n.role != Leader || n.leaseGivenUp || n.cfg.QuorumReads {
 		return 0
 	}
 	contact, ok := n.quorumAcked()
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -34,6 +34,10 @@
 	ElectionTimeout   time.Duration // shortest silence of the leader before a campaign
 	HeartbeatInterval time.Duration
 	Rand              *rand.Rand // spreads the election timeouts
+	// QuorumReads confirms each read by a round of heartbeats and holds no
+	// lease. Hosts that may be suspended, so that their clocks stand still for a
+	// while, need it.
+	QuorumReads bool
 }
 
 // Restored is what a member finds on its disk.
@@ -92,8 +96,8 @@
 	// The member may have answered a leader just before it restarted, and that
 	// leader's lease counts on it: no vote before the lease has run out.
 	n.heardAt = now
-	if n.term == 0 {
-		n.heardAt = now - cfg.ElectionTimeout // it has answered nobody yet
+	if n.term == 0 || cfg.QuorumReads {
+		n.heardAt = now - cfg.ElectionTimeout // no lease can count on it
 	}
 	n.quorumAge = cfg.ElectionTimeout
 	n.resetElection()
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -10,6 +10,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"greengagequay/internal/document"
 	"greengagequay/internal/fault"
 	"greengagequay/internal/settings"
 	"greengagequay/internal/table"
@@ -35,7 +36,8 @@
 type Command struct {
 	Change    *Change
 	Placement *table.Delta
-	Seed      uint64 // sets the seed of the flow hash, if it has none yet
+	Document  *document.Document // replaces an older version
+	Seed      uint64             // sets the seed of the flow hash, if it has none yet
 }
 
 // Result is the answer to a command.
@@ -53,7 +55,8 @@
 	Seed             uint64 // seed of the flow hash
 	Tree             settings.Tree
 	Placement        *table.Placement
-	history          []Change // oldest first
+	Document         *document.Document // newest version, nil before the first
+	history          []Change           // oldest first
 	answers          map[string]uint64
 	view             view
 }
@@ -90,6 +93,8 @@
 		s.Seed = c.Seed
 	case c.Change != nil:
 		return s.applyChange(revision, *c.Change)
+	case c.Document != nil:
+		s.applyDocument(c.Document)
 	case c.Placement != nil:
 		if !s.Placement.Apply(*c.Placement, revision) {
 			return Result{Revision: revision, Err: fault.New(fault.Conflict, "compute it again", "placement is based on revision %d, not %d", c.Placement.Base, s.Placement.Revision)}
@@ -98,6 +103,14 @@
 	return Result{Revision: revision}
 }
 
+// applyDocument takes a document if its version is higher than the present
+// one. Any other is acknowledged and changes nothing.
+func (s *State) applyDocument(d *document.Document) {
+	if s.Document == nil || d.Version > s.Document.Version {
+		s.Document = d
+	}
+}
+
 func (s *State) applyChange(revision uint64, c Change) Result {
 	if answer, ok := s.Answer(c.ID); ok {
 		return answer
@@ -170,6 +183,7 @@
 	Seed             uint64
 	Settings         []settings.Op
 	Placement        *table.Placement
+	Document         *document.Document
 	History          []Change
 }
 
@@ -181,6 +195,7 @@
 		Seed:             s.Seed,
 		Settings:         s.Tree.Export(),
 		Placement:        s.Placement,
+		Document:         s.Document,
 		History:          s.history,
 	}
 	data, err := cbor.Marshal(snap)
@@ -199,6 +214,7 @@
 	s := New()
 	s.Revision, s.SettingsRevision, s.Seed = snap.Revision, snap.SettingsRevision, snap.Seed
 	s.Tree = settings.Import(snap.Settings)
+	s.Document = snap.Document
 	if snap.Placement != nil {
 		s.Placement = snap.Placement.Clone() // no part of it is nil
 	}
--- /dev/null
+++ b/internal/steering/table.go
@@ -0,0 +1,92 @@
+// Package steering decides what an entry host does with each packet of a
+// caller: which backend server it goes to, or whether it is reset or dropped.
+// Packets of an open flow carry the token of their backend server, so that any
+// entry host can send them on without having seen the flow. It is pure.
+package steering
+
+import (
+	"net/netip"
+
+	"github.com/cespare/xxhash/v2"
+
+	"greengagequay/internal/catalog"
+	"greengagequay/internal/document"
+)
+
+// Token names a backend server in the packets of its flows. 0 names none.
+type Token uint32
+
+// TokenOf returns the token of a backend server.
+func TokenOf(id string) Token {
+	token := Token(xxhash.Sum64String(id))
+	if token == 0 {
+		token = 1
+	}
+	return token
+}
+
+// Server is a backend server as the table holds it.
+type Server struct {
+	catalog.Record
+	Token Token
+}
+
+// Table is what an entry host knows of routes and backend servers. It does not
+// change once it is built.
+type Table struct {
+	Version  uint64 // of the document
+	routes   map[netip.AddrPort]*document.Route
+	services map[string][]*Server
+	tokens   map[Token]*Server
+}
+
+// Build returns the table of a document and the known backend servers. A nil
+// document gives a table that knows no route.
+func Build(d *document.Document, records []catalog.Record) *Table {
+	t := &Table{
+		routes:   map[netip.AddrPort]*document.Route{},
+		services: map[string][]*Server{},
+		tokens:   map[Token]*Server{},
+	}
+	if d != nil {
+		t.Version = d.Version
+		for i := range d.Routes {
+			t.routes[d.Routes[i].Address] = &d.Routes[i]
+		}
+	}
+	for _, r := range records {
+		t.add(&Server{Record: r, Token: TokenOf(r.ID)})
+	}
+	return t
+}
+
+// add adds a backend server. Of two with one token, the one that was started
+// first keeps it and the other gets no flows.
+func (t *Table) add(s *Server) {
+	other := t.tokens[s.Token]
+	if other != nil && other.Status != catalog.Gone && (s.Status == catalog.Gone || other.Born < s.Born) {
+		return
+	}
+	t.tokens[s.Token] = s
+	if other != nil {
+		t.withdraw(other)
+	}
+	if s.Status != catalog.Gone {
+		t.services[s.Service] = append(t.services[s.Service], s)
+	}
+}
+
+func (t *Table) withdraw(s *Server) {
+	list := t.services[s.Service]
+	for i, other := range list {
+		if other == s {
+			t.services[s.Service] = append(list[:i:i], list[i+1:]...)
+			return
+		}
+	}
+}
+
+// Ready reports whether the table suffices to place flows: it has a document
+// and a backend server for each service that a route needs, as far as any is
+// known.
+func (t *Table) Ready() bool { return t.Version != 0 && len(t.services) > 0 }
