--- /dev/null
+++ b/internal/catalog/catalog_test.go
@@ -0,0 +1,214 @@
+package catalog
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const beat = time.Second
+
+func newCatalog(self string) *Catalog { return New(Config{Self: self, Interval: beat}) }
+
+func heartbeat(id string, born int64, sequence uint64) Heartbeat {
+	return Heartbeat{
+		ID: id, Service: "orders", Address: netip.MustParseAddrPort("10.0.0.1:80"), Zone: "a", Slots: 2,
+		Born: born, Sequence: sequence,
+	}
+}
+
+func draining(h Heartbeat) Heartbeat {
+	h.Draining = true
+	return h
+}
+
+// statuses returns "id=status" of all records, in order.
+func statuses(c *Catalog) string {
+	var list []string
+	for _, r := range c.Since(0, "") {
+		list = append(list, fmt.Sprintf("%s=%v", r.ID, r.Status))
+	}
+	slices.Sort(list)
+	return strings.Join(list, " ")
+}
+
+func TestHear(t *testing.T) {
+	tests := []struct {
+		name  string
+		calls []any // Heartbeat, or the id of one that leaves
+		want  string
+	}{
+		{"ready", []any{heartbeat("x", 1, 1)}, "x=ready"},
+		{"draining", []any{heartbeat("x", 1, 1), draining(heartbeat("x", 1, 2))}, "x=draining"},
+		{"late ready after draining", []any{draining(heartbeat("x", 1, 2)), heartbeat("x", 1, 1)}, "x=draining"},
+		{"draining is not taken back", []any{draining(heartbeat("x", 1, 2)), heartbeat("x", 1, 3)}, "x=draining"},
+		{"draining ends with a new start", []any{draining(heartbeat("x", 1, 9)), heartbeat("x", 2, 1)}, "x=ready"},
+		{"late call of an earlier start", []any{heartbeat("x", 2, 1), draining(heartbeat("x", 1, 9))}, "x=ready"},
+		{"leaves", []any{draining(heartbeat("x", 1, 2)), "x"}, "x=gone"},
+		{"late heartbeat after it left", []any{draining(heartbeat("x", 1, 2)), "x", draining(heartbeat("x", 1, 4))}, "x=gone"},
+		{"late departure of an earlier start", []any{heartbeat("x", 2, 1), "x", heartbeat("x", 2, 2), heartbeat("x", 2, 3)}, "x=ready"},
+		{"address taken over", []any{heartbeat("x", 1, 5), heartbeat("y", 2, 1)}, "x=gone y=ready"},
+		{"late heartbeat from a taken address", []any{heartbeat("y", 2, 1), heartbeat("x", 1, 5)}, "x=gone y=ready"},
+		{"late heartbeat after the address was taken", []any{heartbeat("x", 1, 5), heartbeat("y", 2, 1), heartbeat("x", 1, 6)}, "x=gone y=ready"},
+		{"unknown one leaves", []any{"x"}, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newCatalog("c1")
+			for _, call := range tt.calls {
+				switch call := call.(type) {
+				case Heartbeat:
+					c.Hear(0, call)
+				case string:
+					c.Leave(0, call, 0)
+				}
+			}
+			qt.Assert(t, statuses(c), qt.Equals, tt.want)
+		})
+	}
+}
+
+func TestOnlyChangesAreTold(t *testing.T) {
+	c := qt.New(t)
+	k := newCatalog("c1")
+	c.Assert(k.Hear(0, heartbeat("x", 1, 1)), qt.IsTrue)
+	c.Assert(k.Hear(beat, heartbeat("x", 1, 2)), qt.IsFalse)
+	revision := k.Revision()
+	c.Assert(k.Hear(2*beat, draining(heartbeat("x", 1, 3))), qt.IsTrue)
+	c.Assert(k.Since(revision, ""), qt.HasLen, 1)
+	c.Assert(k.Since(k.Revision(), ""), qt.HasLen, 0)
+}
+
+func TestRecordsDoNotGoBackToTheirTeller(t *testing.T) {
+	c := qt.New(t)
+	k := newCatalog("c1")
+	k.Merge(0, "c2", []Record{{Heartbeat: heartbeat("x", 1, 1), Owner: "c2"}})
+	c.Assert(k.Since(0, "c2"), qt.HasLen, 0)
+	c.Assert(k.Since(0, "c3"), qt.HasLen, 1)
+}
+
+func TestSilence(t *testing.T) {
+	c := qt.New(t)
+	k := newCatalog("c1")
+	k.Hear(0, heartbeat("x", 1, 1))
+	k.Tick(beat / 2)
+	k.Tick(beat)
+	k.Tick(3 * beat / 2)
+	k.Tick(5 * beat / 2)
+	c.Assert(statuses(k), qt.Equals, "x=ready")
+	c.Assert(k.Tick(11*beat/4), qt.IsTrue)
+	c.Assert(statuses(k), qt.Equals, "x=silent")
+	k.Hear(3*beat, heartbeat("x", 1, 2))
+	c.Assert(statuses(k), qt.Equals, "x=ready")
+}
+
+// A host that was suspended did not hear the heartbeats of that time.
+func TestNoSilenceAfterASuspension(t *testing.T) {
+	k := newCatalog("c1")
+	k.Hear(0, heartbeat("x", 1, 1))
+	k.Tick(beat / 2)
+	k.Tick(30 * beat)
+	qt.Assert(t, statuses(k), qt.Equals, "x=ready")
+}
+
+// tickTo ticks often enough that no pause counts as a suspension.
+func tickTo(k *Catalog, from, to time.Duration) {
+	for now := from; now <= to; now += beat / 4 {
+		k.Tick(now)
+	}
+}
+
+func TestOwnerTellsOfSilence(t *testing.T) {
+	c := qt.New(t)
+	told := Record{Heartbeat: heartbeat("x", 1, 1), Owner: "c2"}
+	k := newCatalog("c1")
+	k.Reachable(0, "c2", true)
+	k.Merge(0, "c2", []Record{told})
+	tickTo(k, 0, 20*beat)
+	c.Assert(statuses(k), qt.Equals, "x=ready", qt.Commentf("its owner is in touch and says nothing"))
+
+	silent := told
+	silent.Status = Silent
+	k.Merge(20*beat, "c3", []Record{silent})
+	c.Assert(statuses(k), qt.Equals, "x=ready", qt.Commentf("c3 may be out of touch with the owner"))
+	k.Merge(20*beat, "c2", []Record{silent})
+	c.Assert(statuses(k), qt.Equals, "x=silent")
+	k.Merge(20*beat, "c2", []Record{told})
+	c.Assert(statuses(k), qt.Equals, "x=ready")
+}
+
+func TestLostOwner(t *testing.T) {
+	c := qt.New(t)
+	k := newCatalog("c1")
+	k.Reachable(0, "c2", true)
+	k.Merge(0, "c2", []Record{{Heartbeat: heartbeat("x", 1, 1), Owner: "c2"}})
+	tickTo(k, 0, 10*beat)
+	k.Reachable(10*beat, "c2", false)
+	tickTo(k, 10*beat, 12*beat)
+	c.Assert(statuses(k), qt.Equals, "x=ready", qt.Commentf("it has time to find another control host"))
+	tickTo(k, 12*beat, 13*beat)
+	c.Assert(statuses(k), qt.Equals, "x=silent")
+}
+
+func TestForgetsWhatIsGone(t *testing.T) {
+	k := newCatalog("c1")
+	k.Hear(0, draining(heartbeat("x", 1, 1)))
+	k.Leave(0, "x", 0)
+	tickTo(k, 0, goneAfter+beat)
+	qt.Assert(t, statuses(k), qt.Equals, "")
+}
+
+// Whatever order announcements travel in, all catalogs end alike and at the
+// state of the last start and announcement of each backend server.
+func TestCatalogsAgree(t *testing.T) {
+	for seed := uint64(1); seed <= 200; seed++ {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		names := []string{"c1", "c2", "c3"}
+		var hosts []*Catalog
+		for i, name := range names {
+			hosts = append(hosts, newCatalog(name))
+			for j, other := range names {
+				hosts[i].Reachable(0, other, i != j)
+			}
+		}
+		want := map[string]Heartbeat{}
+		for i := range 40 {
+			h := heartbeat(fmt.Sprintf("b%d", rng.IntN(4)), int64(rng.IntN(3)), uint64(rng.IntN(10)))
+			h.Address = netip.MustParseAddrPort("10.0.0.1:" + h.ID[1:] + "1")
+			h.Draining = h.Sequence >= 7 // within one start draining comes last
+			hosts[i%3].Hear(0, h)
+			last, ok := want[h.ID]
+			if !ok || h.Born > last.Born || h.Born == last.Born && h.Sequence > last.Sequence {
+				want[h.ID] = h
+			}
+			exchange(hosts, names, rng)
+		}
+		for range 4 {
+			exchange(hosts, names, nil)
+		}
+		for _, k := range hosts {
+			for _, r := range k.Since(0, "") {
+				qt.Assert(t, r.Born, qt.Equals, want[r.ID].Born, qt.Commentf("seed %d", seed))
+				qt.Assert(t, r.Status == Draining, qt.Equals, want[r.ID].Draining, qt.Commentf("seed %d", seed))
+			}
+		}
+	}
+}
+
+// exchange lets hosts tell each other everything; with a random source only
+// some of them do.
+func exchange(hosts []*Catalog, names []string, rng *rand.Rand) {
+	for i, from := range hosts {
+		for j, to := range hosts {
+			if i != j && (rng == nil || rng.IntN(3) == 0) {
+				to.Merge(0, names[i], from.Since(0, names[j]))
+			}
+		}
+	}
+}
--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -20,14 +20,14 @@
 // Options of a control host.
 type Options struct {
 	Name      string
-	Addr      string   // RPC address of this host
-	Peers     []Peer   // control hosts of the settings
-	Bootstrap bool     // start a new log with the peers as its voters
+	Addr      string // RPC address of this host
+	Peers     []Peer // control hosts of the settings
+	Bootstrap bool   // start a new log with the peers as its voters
 	// Founders are the voters of a new log, the same on each of them. Each
 	// starts it on its own, without asking the others.
-	Founders []raft.Member
-	Managed  bool // the leader adds, promotes and removes members by itself
-	Tuning   Tuning
+	Founders  []raft.Member
+	Managed   bool // the leader adds, promotes and removes members by itself
+	Tuning    Tuning
 	Disk      wal.Disk // data folder
 	Replica   *replica.Replica
 	Transport Transport
