Try often and briefly to reach a control host until an entry host can work

Cause: after a loss of power of everything, an entry host that started first waited in a connection attempt to a dark control host (500 ms, and the pause doubled after each), though the host had power again after some 100 ms. Ruled out: the disks and the recalled backend servers, which are there within 10 ms of a control host's start. Left: an entry host needs some 200 ms of its small processor share to start.

--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -28,9 +28,9 @@
 }
 
 // Follow connects to a control host and hands its updates to the sink until the
-// link ends or ctx is done.
-func Follow(ctx context.Context, addr string, self Presence, sink Sink) (*Link, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1} // the beats keep it alive
+// link ends or ctx is done. It gives up the connection attempt after limit.
+func Follow(ctx context.Context, addr string, limit time.Duration, self Presence, sink Sink) (*Link, error) {
+	dialer := net.Dialer{Timeout: limit, KeepAlive: -1} // the beats keep it alive
 	conn, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
--- a/internal/feed/frame.go
+++ b/internal/feed/frame.go
@@ -22,7 +22,6 @@
 const (
 	beatInterval = 500 * time.Millisecond  // between two frames of a side that has no news
 	silenceLimit = 1500 * time.Millisecond // three lost beats
-	dialTimeout  = 500 * time.Millisecond
 	writeTimeout = time.Second
 )
 
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -19,7 +19,7 @@
 // Times of an entry host.
 const (
 	entryTick     = 500 * time.Millisecond
-	coldTick      = 50 * time.Millisecond // until it knows enough to place flows
+	coldTick      = 20 * time.Millisecond // until it knows enough to place flows
 	leaveLeadPart = 2                     // readiness fails for 1/2 of the grace before the host stops
 )
 
@@ -100,14 +100,16 @@
 // loop does what is due from time to time.
 func (h *EntryHost) loop() {
 	for {
-		h.links.dial(h.wanted)
 		h.mu.Lock()
 		h.steerer.Forget(h.now())
+		warm := h.steerer.Table().Ready()
+		h.mu.Unlock()
+		h.links.warm(warm)
+		h.links.dial(h.wanted)
 		pause := coldTick
-		if h.steerer.Table().Ready() {
+		if warm {
 			pause = entryTick
 		}
-		h.mu.Unlock()
 		select {
 		case <-time.After(pause):
 		case <-h.ctx.Done():
--- a/internal/fleet/links.go
+++ b/internal/fleet/links.go
@@ -11,9 +11,15 @@
 
 // Times of looking for control hosts.
 const (
+	dialTimeout    = 500 * time.Millisecond
 	redialPause    = 100 * time.Millisecond // after a first failed try
 	maxRedialPause = time.Second
-	forgetAfter    = 30 * time.Second // a control host that is no seed and does not answer
+	// Until a host knows enough to work it tries more often: a dark host does
+	// not refuse a connection, and the attempt would wait for long after the
+	// host has power again.
+	coldDialTimeout = 60 * time.Millisecond
+	coldRedialPause = 20 * time.Millisecond
+	forgetAfter     = 30 * time.Second // a control host that is no seed and does not answer
 )
 
 // links holds the connections to the control hosts that this host follows, and
@@ -26,6 +32,7 @@
 
 	mu    sync.Mutex
 	known map[string]*knownHost // by feed address
+	cold  bool                  // this host does not know enough to work
 }
 
 // knownHost is a control host that is or was somewhere.
@@ -46,6 +53,22 @@
 	return &links{ctx: ctx, self: self, sink: sink, log: log, known: map[string]*knownHost{}}
 }
 
+// warm tells whether this host knows enough to work.
+func (l *links) warm(yes bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cold = !yes
+}
+
+// limits returns the timeout of an attempt and the pause after it, if it fails
+// after a pause of last.
+func (l *links) limits(last time.Duration) (timeout, pause time.Duration) {
+	if l.cold {
+		return coldDialTimeout, coldRedialPause
+	}
+	return dialTimeout, min(max(2*last, redialPause), maxRedialPause)
+}
+
 // seeds replaces the seeds.
 func (l *links) seeds(addrs []string) {
 	l.mu.Lock()
@@ -119,7 +142,8 @@
 			h.link.Close()
 		case want[h.addr] && h.link == nil && !h.dialing && !now.Before(h.retryAt):
 			h.dialing = true
-			go l.connect(h)
+			timeout, pause := l.limits(h.pause)
+			go l.connect(h, timeout, pause)
 		}
 	}
 }
@@ -134,12 +158,12 @@
 }
 
 // connect opens a link and waits for its end.
-func (l *links) connect(h *knownHost) {
-	link, err := feed.Follow(l.ctx, h.addr, l.self, l.sink)
+func (l *links) connect(h *knownHost, timeout, pause time.Duration) {
+	link, err := feed.Follow(l.ctx, h.addr, timeout, l.self, l.sink)
 	l.mu.Lock()
 	h.dialing = false
 	if err != nil {
-		h.pause = min(max(2*h.pause, redialPause), maxRedialPause)
+		h.pause = pause
 		h.retryAt = time.Now().Add(h.pause)
 		l.mu.Unlock()
 		return
