Pace what an entry host sends on a slow link

Cause: on the grown deployments an entry host's link carries 1.4 Mbit/s, a window of an upload takes 114 ms, and the link loses what exceeds a few packets. A trace of one upload alone on its link (trial, 6% of the traffic) shows 16 packets read within 5 ms and 4 of them acknowledged; the rest came again after 200 ms, four times over: 1280 ms for 40 kB. Requests of one packet were lost beside them. Ruled out: the way in (bursts arrive whole) and the processor (9% of its share). Change: packets wait in a queue at the rate of the link, small ones first, then by the deadline of their flow; repetitions of what waits are dropped.

--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -24,6 +24,7 @@
 	Address  netip.AddrPort // to which callers open flows
 	Targets  []Target
 	Timeout  uint32 // milliseconds, of a request
+	Aim      uint32 // milliseconds within which a request should be answered, 0 if none is set
 	Priority int    // 0 is the highest
 }
 
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -41,6 +41,7 @@
 	Data         string   `json:"data"`         // data folder, control
 	HeartbeatMs  int      `json:"heartbeatMs"`  // between announcements of a backend server
 	TolerateLoss int      `json:"tolerateLoss"` // control hosts that may be lost at once
+	LinkMbps     float64  `json:"linkMbps"`     // of the host's link, in Mbit/s; 0 if it never binds
 	GraceS       float64  `json:"graceS"`       // seconds from SIGTERM to SIGKILL
 }
 
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -31,6 +31,7 @@
 	format  PacketFormat
 	links   *links
 	conn    *net.UDPConn
+	sender  *sender
 	server  *http.Server
 	started time.Time
 	ctx     context.Context
@@ -68,6 +69,7 @@
 		return unavailableAddress("packets", err)
 	}
 	h.conn = packets
+	h.sender = newSender(packets, h.cfg.LinkMbps, h.log, h.metrics, h.now)
 	ready, err := net.Listen("tcp", h.cfg.Ready)
 	if err != nil {
 		return unavailableAddress("ready", err)
@@ -104,6 +106,7 @@
 		h.steerer.Forget(h.now())
 		warm := h.steerer.Table().Ready()
 		h.mu.Unlock()
+		h.sender.forget()
 		h.links.warm(warm)
 		h.links.dial(h.wanted)
 		pause := coldTick
--- a/internal/fleet/packets.go
+++ b/internal/fleet/packets.go
@@ -4,11 +4,13 @@
 	"errors"
 	"net"
 	"net/netip"
+	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
 
 	"greengagequay/internal/eventlog"
 	"greengagequay/internal/metrics"
+	"greengagequay/internal/pacing"
 	"greengagequay/internal/steering"
 )
 
@@ -16,14 +18,12 @@
 type packetCounts struct {
 	byReason  map[steering.Reason]gometrics.Counter
 	malformed gometrics.Counter
-	unsent    gometrics.Counter
 }
 
 func newPacketCounts(m *metrics.Registry) packetCounts {
 	c := packetCounts{
 		byReason:  map[steering.Reason]gometrics.Counter{},
 		malformed: m.Counter("packets.malformed"),
-		unsent:    m.Counter("packets.unsent"),
 	}
 	for _, r := range steering.Reasons() {
 		c.byReason[r] = m.Counter("packets." + r.String())
@@ -58,39 +58,41 @@
 	}
 	h.mu.Lock()
 	d := h.steerer.Decide(h.now(), packet)
-	version := h.steerer.Table().Version
+	version, aim := h.steerer.Table().Version, h.steerer.Table().Aim(packet.Route)
 	h.mu.Unlock()
 	h.counts.byReason[d.Reason].Inc(1)
 	h.logDecision(datagram, packet, d, version)
 	switch d.Verdict {
 	case steering.Forward:
-		h.forward(buf, packet, d)
+		h.forward(buf, packet, d, aim)
 	case steering.Refuse:
 		h.refuse(datagram, packet)
 	}
 }
 
-func (h *EntryHost) forward(buf []byte, p steering.Packet, d steering.Decision) {
+// largeData is the data, in bytes, from which on a packet is one of many.
+const largeData = 1000
+
+func (h *EntryHost) forward(buf []byte, p steering.Packet, d steering.Decision, aim time.Duration) {
 	if p.Opening {
 		h.format.SetToken(buf[TargetBytes:], d.Server.Token)
 	}
 	h.format.PutTarget(buf[:TargetBytes], d.Server.ID)
-	h.send(buf, d.Server.Address)
+	if !h.sender.paced() {
+		h.sender.send(buf, d.Server.Address)
+		return
+	}
+	h.sender.offer(&pacing.Packet{
+		Flow: p.Flow(), Sequence: p.Sequence, Data: p.Data, Small: p.Data < largeData,
+		Deadline: h.now() + aim, Datagram: buf, To: d.Server.Address,
+	})
 }
 
 // refuse resets a flow. Callers are reached at the port of the host's own
 // packet address.
 func (h *EntryHost) refuse(datagram []byte, p steering.Packet) {
 	port := uint16(h.conn.LocalAddr().(*net.UDPAddr).Port)
-	h.send(h.format.AppendReset(nil, datagram), netip.AddrPortFrom(p.Caller.Addr(), port))
-}
-
-// send sends a datagram. A lost one is sent again by its sender.
-func (h *EntryHost) send(datagram []byte, to netip.AddrPort) {
-	if _, err := h.conn.WriteToUDPAddrPort(datagram, to); err != nil {
-		h.counts.unsent.Inc(1)
-		h.log.Event("unsent", "could not send a packet", eventlog.Fields{"to": to, "error": err.Error()})
-	}
+	h.sender.send(h.format.AppendReset(nil, datagram), netip.AddrPortFrom(p.Caller.Addr(), port))
 }
 
 // logDecision writes a line for each decision that places, refuses or drops. A
--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -16,8 +16,14 @@
 	Copy    uint32         // of an opening packet: how often it was sent before
 	Reset   bool           // the caller ends the flow
 	Token   Token
+	// Sequence and Data number the bytes that the packet carries.
+	Sequence uint32
+	Data     int
 }
 
+// Flow returns the flow of the packet.
+func (p Packet) Flow() Flow { return Flow{Caller: p.Caller, Route: p.Route} }
+
 // Flow names a flow by its ends.
 type Flow struct {
 	Caller netip.AddrPort
@@ -131,7 +137,7 @@
 	if route == nil {
 		return Decision{Verdict: Refuse, Reason: NoRoute}
 	}
-	flow := Flow{Caller: p.Caller, Route: p.Route}
+	flow := p.Flow()
 	before := s.opened[flow]
 	if p.Copy == 0 || now-before.at > openingMemory {
 		before = opening{}
--- a/internal/steering/table.go
+++ b/internal/steering/table.go
@@ -6,6 +6,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -86,6 +87,16 @@
 	}
 }
 
+// Aim returns the time within which requests of a route should be answered, 0
+// if none is set.
+func (t *Table) Aim(route netip.AddrPort) time.Duration {
+	r := t.routes[route]
+	if r == nil {
+		return 0
+	}
+	return time.Duration(r.Aim) * time.Millisecond
+}
+
 // Ready reports whether the table suffices to place flows: it has a document
 // and a backend server for each service that a route needs, as far as any is
 // known.
