--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"net"
 	"net/netip"
-	"os"
 	"strconv"
 	"time"
 
@@ -49,11 +48,15 @@
 
 // LoadConfig reads a settings file: JSON with comments.
 func LoadConfig(path string) (Config, error) {
-	data, err := os.ReadFile(path)
+	f, err := openSettings(path)
 	if err != nil {
-		return Config{}, fault.New(fault.Invalid, "give the path of the settings with --config", "read settings: %w", err)
+		return Config{}, err
 	}
-	return ParseConfig(data)
+	return f.cfg, nil
+}
+
+func settingsUnreadable(err error) error {
+	return fault.New(fault.Invalid, "give the path of the settings with --config", "read settings: %w", err)
 }
 
 // ParseConfig parses and checks settings.
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -287,6 +287,9 @@
 	h.log.Event("malformed", "refused an announcement", eventlog.Fields{"backend": id, "error": err.Error()})
 }
 
+// Reload follows changed seeds.
+func (h *ControlHost) Reload(cfg Config) { h.links.seeds(cfg.seedFeeds()) }
+
 // Stop ends the host. Another one leads first, if there is one.
 func (h *ControlHost) Stop() {
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownLimit)
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -172,6 +172,9 @@
 	}
 }
 
+// Reload follows changed seeds.
+func (h *EntryHost) Reload(cfg Config) { h.links.seeds(cfg.seedFeeds()) }
+
 // Stop lets callers' packets move to other hosts, and then ends the host.
 func (h *EntryHost) Stop() {
 	h.mu.Lock()
--- a/internal/fleet/main.go
+++ b/internal/fleet/main.go
@@ -20,36 +20,56 @@
 )
 
 // host is what both roles have in common.
-type host interface{ Stop() }
+type host interface {
+	// Reload puts changed settings in force, as far as that needs no restart.
+	Reload(Config)
+	// Stop ends the host within its grace.
+	Stop()
+}
 
 // Run runs a host with the settings at path until SIGTERM or an interrupt.
 func Run(ctx context.Context, path string, a Adapter, out io.Writer) error {
 	debug.SetGCPercent(gcPercent)
-	cfg, err := LoadConfig(path)
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	settings, err := openSettings(path)
 	if err != nil {
 		return err
 	}
 	log := eventlog.New(out, time.Now)
 	defer log.Close(logCloseLimit)
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	settings.log = log
+	cfg := settings.cfg
 	h, err := start(cfg, a, log)
 	if err != nil {
+		log.Event("stop", "could not start", eventlog.Fields{"host": cfg.Name, "error": err.Error()})
 		return err
 	}
 	log.Event("start", "started", eventlog.Fields{"host": cfg.Name, "role": cfg.Role, "zone": cfg.Zone, "first_start": cfg.FirstStart})
+	reason := serve(ctx, h, settings, signals)
+	log.Event("stop", "stops", eventlog.Fields{"host": cfg.Name, "reason": reason})
+	h.Stop()
+	return nil
+}
+
+// serve follows the settings until the host is told to stop, and returns by
+// what.
+func serve(ctx context.Context, h host, settings *settingsFile, signals <-chan os.Signal) string {
+	look := time.NewTicker(reloadPause)
+	defer look.Stop()
 	for {
 		select {
+		case <-ctx.Done():
+			return ctx.Err().Error()
 		case s := <-signals:
-			if s == syscall.SIGHUP {
-				continue
+			if s != syscall.SIGHUP {
+				return s.String()
 			}
-			log.Event("stop", "stops on a signal", eventlog.Fields{"signal": s.String()})
-		case <-ctx.Done():
-			log.Event("stop", "stops", eventlog.Fields{})
+		case <-look.C:
+		}
+		if cfg, changed := settings.reload(); changed {
+			h.Reload(cfg)
 		}
-		h.Stop()
-		return nil
 	}
 }
 
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -76,3 +76,9 @@
 	}
 	return s, view.Leads
 }
+
+// Votes reports whether this host is a voter of the log.
+func (h *ControlHost) Votes() bool {
+	view := h.host.View()
+	return view.Membership.IsVoter(view.Self)
+}
--- /dev/null
+++ b/internal/fleet/system_test.go
@@ -0,0 +1,316 @@
+package fleet_test
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"greengagequay/internal/eventlog"
+	"greengagequay/internal/fleet"
+	"greengagequay/platform"
+)
+
+// system is a deployment on loopback: each host has an address of its own, and
+// all use the same ports.
+type system struct {
+	t        *testing.T
+	base     int // first of the ports
+	folder   string
+	controls map[int]*fleet.ControlHost
+	log      *eventlog.Log
+}
+
+const portsPerHost = 6
+
+// newSystem finds a range of ports that is free on the addresses of all hosts.
+func newSystem(t *testing.T) *system {
+	for {
+		probe, err := net.Listen("tcp", "127.0.0.1:0")
+		qt.Assert(t, err, qt.IsNil)
+		base := probe.Addr().(*net.TCPAddr).Port
+		_ = probe.Close()
+		if base+portsPerHost < 65536 && freeEverywhere(base) {
+			log := eventlog.New(io.Discard, time.Now)
+			t.Cleanup(func() { log.Close(time.Second) })
+			return &system{t: t, base: base, folder: t.TempDir(), controls: map[int]*fleet.ControlHost{}, log: log}
+		}
+	}
+}
+
+func freeEverywhere(base int) bool {
+	for host := 1; host <= 9; host++ {
+		for port := base; port < base+portsPerHost; port++ {
+			l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip(host), port))
+			if err != nil {
+				return false
+			}
+			_ = l.Close()
+		}
+	}
+	return true
+}
+
+func ip(host int) string { return fmt.Sprintf("127.0.0.%d", host) }
+
+func (s *system) addr(host, port int) string { return fmt.Sprintf("%s:%d", ip(host), s.base+port) }
+
+func (s *system) config(host int, role fleet.Role, first bool) fleet.Config {
+	data := ""
+	if role == fleet.Control {
+		data = filepath.Join(s.folder, fmt.Sprint(host))
+	}
+	return fleet.Config{
+		Name: fmt.Sprintf("h%d", host), Role: role, Zone: fmt.Sprintf("z%d", host%3), IP: ip(host),
+		Packets: s.addr(host, 0), Ready: s.addr(host, 1), API: s.addr(host, 2), Metrics: s.addr(host, 3),
+		Internal: []int{s.base + 4, s.base + 5}, Seeds: []string{s.addr(1, 2), s.addr(2, 2), s.addr(3, 2)},
+		FirstStart: first, Data: data, HeartbeatMs: 60_000, TolerateLoss: 1,
+	}
+}
+
+func (s *system) startControl(host int, first bool) {
+	h, err := fleet.StartControl(s.config(host, fleet.Control, first), platform.Adapter{}, s.log)
+	qt.Assert(s.t, err, qt.IsNil)
+	s.controls[host] = h
+	s.t.Cleanup(func() { s.stopControl(host) })
+}
+
+func (s *system) stopControl(host int) {
+	if h := s.controls[host]; h != nil {
+		delete(s.controls, host)
+		h.Stop()
+	}
+}
+
+func (s *system) startEntry(host int) {
+	h, err := fleet.StartEntry(s.config(host, fleet.Entry, true), platform.Adapter{}, s.log)
+	qt.Assert(s.t, err, qt.IsNil)
+	s.t.Cleanup(h.Stop)
+}
+
+// call calls a control host's API and returns the status, 0 if there is none.
+func (s *system) call(host int, method, path, body string) (int, string) {
+	req, err := http.NewRequest(method, "http://"+s.addr(host, 2)+path, strings.NewReader(body))
+	qt.Assert(s.t, err, qt.IsNil)
+	return do(req)
+}
+
+func do(req *http.Request) (int, string) {
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, ""
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return resp.StatusCode, string(data)
+}
+
+// eventually tries until it works. The limit of the whole test run ends it.
+func eventually(fn func() bool) {
+	for !fn() {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func document(version int) string {
+	return fmt.Sprintf(`{"version":%d,"routes":[{"name":"r","host":"198.18.0.1","pathPrefix":"/443/","timeoutMs":1000,"service":"orders"}],
+"services":[{"name":"orders"}],"limits":{"idleTimeoutMs":15000}}`, version)
+}
+
+func (s *system) put(host, version int) {
+	eventually(func() bool {
+		status, _ := s.call(host, "POST", "/api/Config.Put", document(version))
+		return status == http.StatusOK
+	})
+}
+
+func (s *system) get(host int) string {
+	body := ""
+	eventually(func() bool {
+		var status int
+		status, body = s.call(host, "GET", "/api/Config.Get", "")
+		return status == http.StatusOK
+	})
+	return body
+}
+
+// backend is a stand-in that takes packets.
+type backend struct {
+	id       string
+	conn     *net.UDPConn
+	sequence int
+}
+
+func (s *system) backend(id string) *backend {
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	qt.Assert(s.t, err, qt.IsNil)
+	s.t.Cleanup(func() { _ = conn.Close() })
+	return &backend{id: id, conn: conn}
+}
+
+func (s *system) announce(host int, b *backend, state string) {
+	b.sequence++
+	body := fmt.Sprintf(`{"service":"orders","address":"%s","zone":"z1","version":"v1","slots":2,"state":"%s","warmupLeftMs":0,"seq":%d,"born":1700000000000}`,
+		b.conn.LocalAddr(), state, b.sequence)
+	status, _ := s.call(host, "POST", "/api/Instances.Heartbeat/"+b.id, body)
+	qt.Assert(s.t, status, qt.Equals, http.StatusOK)
+}
+
+// receive returns the next datagram, without what names its target.
+func (b *backend) receive(t *testing.T) (target uint64, packet []byte) {
+	buf := make([]byte, 2048)
+	n, err := b.conn.Read(buf)
+	qt.Assert(t, err, qt.IsNil)
+	return binary.BigEndian.Uint64(buf), buf[8:n]
+}
+
+// packet returns a packet of a caller: an opening one without a token, else one
+// with data.
+func packet(port uint16, token uint32) []byte {
+	data := []byte("GET / HTTP/1.1\r\nX-Request-Id: r1\r\n\r\n")
+	flags := byte(32)
+	if token == 0 {
+		data, flags = nil, 64
+	}
+	p := make([]byte, 32)
+	binary.BigEndian.PutUint32(p, token)
+	binary.BigEndian.PutUint16(p[4:], port)
+	caller, route := netip.MustParseAddr("127.0.0.8").As4(), netip.MustParseAddr("198.18.0.1").As4()
+	copy(p[6:], caller[:])
+	copy(p[10:], route[:])
+	binary.BigEndian.PutUint16(p[14:], 443)
+	p[28] = flags
+	binary.BigEndian.PutUint16(p[30:], uint16(len(data)))
+	return append(p, data...)
+}
+
+func (s *system) sendTo(host int, datagram []byte) {
+	conn, err := net.Dial("udp4", s.addr(host, 0))
+	qt.Assert(s.t, err, qt.IsNil)
+	defer conn.Close()
+	_, err = conn.Write(datagram)
+	qt.Assert(s.t, err, qt.IsNil)
+}
+
+func (s *system) waitReady(host int) {
+	eventually(func() bool {
+		req, err := http.NewRequest("GET", "http://"+s.addr(host, 1)+"/api/readiness", nil)
+		qt.Assert(s.t, err, qt.IsNil)
+		status, _ := do(req)
+		return status == http.StatusOK
+	})
+}
+
+// The whole path: a document, announcements, a flow over two entry hosts, and a
+// backend server that drains.
+func TestWholePath(t *testing.T) {
+	c := qt.New(t)
+	s := newSystem(t)
+	for host := 1; host <= 3; host++ {
+		s.startControl(host, true)
+	}
+	s.startEntry(4)
+	s.startEntry(5)
+	s.put(1, 7)
+	c.Assert(s.get(2), qt.Equals, document(7))
+	first := s.backend("i-a1")
+	s.announce(3, first, "ready")
+	s.waitReady(4)
+	s.waitReady(5)
+
+	s.sendTo(4, packet(1000, 0))
+	target, opening := first.receive(t)
+	c.Assert(target, qt.Equals, uint64(0xa1))
+	token := binary.BigEndian.Uint32(opening)
+	c.Assert(token, qt.Not(qt.Equals), uint32(0))
+	s.sendTo(5, packet(1000, token))
+	_, next := first.receive(t)
+	c.Assert(next, qt.DeepEquals, packet(1000, token), qt.Commentf("sent on unchanged"))
+
+	second := s.backend("i-b2")
+	s.announce(1, second, "ready")
+	s.announce(2, first, "draining")
+	port := uint16(2000)
+	eventually(func() bool { // until the entry host knows
+		port++
+		s.sendTo(4, packet(port, 0))
+		_ = second.conn.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
+		_, err := second.conn.Read(make([]byte, 2048))
+		return err == nil
+	})
+	s.sendTo(5, packet(1000, token))
+	eventually(func() bool { // its open flow stays, behind packets of new flows
+		_, p := first.receive(t)
+		return bytes.Equal(p, packet(1000, token))
+	})
+}
+
+// A control host whose disk is lost comes back blank, the others put it in the
+// place of its lost self, and then another one may lose its disk.
+func TestDisksAreLostOneAfterTheOther(t *testing.T) {
+	c := qt.New(t)
+	s := newSystem(t)
+	for host := 1; host <= 3; host++ {
+		s.startControl(host, true)
+	}
+	s.put(1, 1)
+	for host := 1; host <= 3; host++ {
+		s.stopControl(host)
+		c.Assert(os.RemoveAll(filepath.Join(s.folder, fmt.Sprint(host))), qt.IsNil)
+		s.startControl(host, false)
+		eventually(func() bool { return s.controls[host].Votes() })
+		s.put(host, host+1)
+	}
+	for host := 1; host <= 3; host++ {
+		c.Assert(s.get(host), qt.Equals, document(4))
+	}
+}
+
+// A fourth host waits as a learner and takes the place of one that is gone.
+func TestLostHostIsReplaced(t *testing.T) {
+	c := qt.New(t)
+	s := newSystem(t)
+	for host := 1; host <= 3; host++ {
+		s.startControl(host, true)
+	}
+	s.put(1, 1)
+	s.startControl(6, false)
+	s.stopControl(2)
+	eventually(func() bool { return s.controls[6].Votes() })
+	s.put(6, 2)
+	c.Assert(s.get(3), qt.Equals, document(2))
+}
+
+// Without a quorum nothing is accepted, and no read pretends to be current.
+func TestNoQuorum(t *testing.T) {
+	c := qt.New(t)
+	s := newSystem(t)
+	for host := 1; host <= 3; host++ {
+		s.startControl(host, true)
+	}
+	s.put(1, 1)
+	s.stopControl(2)
+	s.stopControl(3)
+	status, _ := s.call(1, "GET", "/api/Config.Get", "")
+	c.Assert(status, qt.Equals, http.StatusServiceUnavailable)
+	status, _ = s.call(1, "POST", "/api/Config.Put", document(2))
+	c.Assert(status, qt.Equals, http.StatusServiceUnavailable)
+	first := s.backend("i-a1")
+	s.announce(1, first, "ready") // announcements need no quorum
+	s.startControl(2, false)
+	s.put(2, 3)
+	c.Assert(s.get(1), qt.Equals, document(3))
+}
