Avoid backend servers that leave opening packets without an answer

Change: a host that sees a copy avoids the backend server for 1.5 s and more, and tells the others through its control host, if it got answers from others meanwhile; an answer ends the suspicion. Late copies of open flows are dropped.

--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -72,6 +72,7 @@
 	version  uint64 // of the document in force
 	seenAt   map[raft.ID]time.Duration
 	changing bool // a change of members is on its way
+	suspects suspectLog
 }
 
 // StartControl starts a control host.
--- a/internal/fleet/controlfeed.go
+++ b/internal/fleet/controlfeed.go
@@ -20,6 +20,7 @@
 	defer h.mu.Unlock()
 	next := feed.Cursor{
 		Revision: h.catalog.Revision(), Version: h.version, Peers: h.peersRev, Current: h.current, Started: true,
+		Suspects: h.suspects.revision,
 	}
 	if next == after {
 		return feed.Update{}, after, false
@@ -36,7 +37,13 @@
 			u.Peers = append(u.Peers, p)
 		}
 	}
-	if next.Version != after.Version && !to.Control {
+	if to.Control {
+		return u, next, true
+	}
+	if after.Started {
+		u.Suspects = h.suspects.since(after.Suspects, to.Addr)
+	}
+	if next.Version != after.Version {
 		u.Document = h.outgoing()
 	}
 	return u, next, true
@@ -69,8 +76,13 @@
 	})
 }
 
-// Reported takes what a follower has seen.
-func (h *ControlHost) Reported(feed.Presence, feed.Report) {}
+// Reported takes what an entry host has seen, for the others.
+func (h *ControlHost) Reported(by feed.Presence, r feed.Report) {
+	h.mu.Lock()
+	h.suspects.add(by.Addr, r.Suspects)
+	h.mu.Unlock()
+	h.news.send()
+}
 
 // Connected notes a followed control host.
 func (h *ControlHost) Connected(addr string, connected bool) {
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -143,11 +143,14 @@
 // Updated takes what a control host tells.
 func (h *EntryHost) Updated(addr string, u feed.Update) {
 	h.links.told(addr, u)
-	if u.Document == nil && len(u.Records) == 0 {
+	if u.Document == nil && len(u.Records) == 0 && len(u.Suspects) == 0 {
 		return
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	for _, x := range u.Suspects {
+		h.steerer.Suspect(h.now(), x.ID, x.Born)
+	}
 	changed := h.catalog.Merge(h.now(), addr, u.Records)
 	if u.Document != nil && (h.document == nil || u.Document.Version > h.document.Version) {
 		h.document = u.Document
--- a/internal/fleet/packets.go
+++ b/internal/fleet/packets.go
@@ -9,6 +9,7 @@
 	gometrics "github.com/rcrowley/go-metrics"
 
 	"greengagequay/internal/eventlog"
+	"greengagequay/internal/feed"
 	"greengagequay/internal/metrics"
 	"greengagequay/internal/pacing"
 	"greengagequay/internal/steering"
@@ -18,12 +19,14 @@
 type packetCounts struct {
 	byReason  map[steering.Reason]gometrics.Counter
 	malformed gometrics.Counter
+	opened    gometrics.Histogram // milliseconds from the first opening packet to the next one of the flow
 }
 
 func newPacketCounts(m *metrics.Registry) packetCounts {
 	c := packetCounts{
 		byReason:  map[steering.Reason]gometrics.Counter{},
 		malformed: m.Counter("packets.malformed"),
+		opened:    m.Timing("flows.open_ms"),
 	}
 	for _, r := range steering.Reasons() {
 		c.byReason[r] = m.Counter("packets." + r.String())
@@ -61,6 +64,12 @@
 	version, aim := h.steerer.Table().Version, h.steerer.Table().Aim(packet.Route)
 	h.mu.Unlock()
 	h.counts.byReason[d.Reason].Inc(1)
+	if d.Opened > 0 {
+		h.counts.opened.Update(d.Opened.Milliseconds())
+	}
+	if d.Unanswered != nil {
+		h.tellSuspicion(d.Unanswered)
+	}
 	h.logDecision(datagram, packet, d, version)
 	switch d.Verdict {
 	case steering.Forward:
@@ -70,6 +79,15 @@
 	}
 }
 
+// tellSuspicion tells the followed control hosts that a backend server left an
+// opening packet without an answer.
+func (h *EntryHost) tellSuspicion(server *steering.Server) {
+	h.log.Event("suspect", "a backend server left an opening packet without an answer", eventlog.Fields{
+		"backend": server.ID, "born": server.Born, "status": server.Status.String(), "sequence": server.Sequence,
+	})
+	h.links.report(feed.Report{Suspects: []feed.Suspect{{ID: server.ID, Born: server.Born}}})
+}
+
 // largeData is the data, in bytes, from which on a packet is one of many.
 const largeData = 1000
 
--- /dev/null
+++ b/internal/fleet/suspects_test.go
@@ -0,0 +1,25 @@
+package fleet
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"greengagequay/internal/feed"
+)
+
+func TestSuspectLog(t *testing.T) {
+	c := qt.New(t)
+	var l suspectLog
+	l.add("a", []feed.Suspect{{ID: "x1"}})
+	l.add("b", []feed.Suspect{{ID: "x2"}})
+	c.Assert(l.since(0, "a"), qt.DeepEquals, []feed.Suspect{{ID: "x2"}})
+	c.Assert(l.since(1, "c"), qt.DeepEquals, []feed.Suspect{{ID: "x2"}})
+	c.Assert(l.since(2, "c"), qt.HasLen, 0)
+	for range 2 * suspectsKept {
+		l.add("a", []feed.Suspect{{ID: "x3"}})
+	}
+	c.Assert(l.kept, qt.HasLen, suspectsKept)
+	c.Assert(l.since(0, "c"), qt.HasLen, suspectsKept)
+	c.Assert(l.since(l.revision-1, "c"), qt.HasLen, 1)
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -56,6 +56,11 @@
 	}).(gometrics.Histogram)
 }
 
+// Timing returns the histogram called name.
+func (r *Registry) Timing(name string) gometrics.Histogram {
+	return gometrics.GetOrRegisterHistogram(name, r.reg, gometrics.NewUniformSample(sampleSize))
+}
+
 func (r *Registry) bounded(series string) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/steering/choose.go
+++ b/internal/steering/choose.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -15,7 +16,8 @@
 const (
 	rankOwnZone rank = iota
 	rankOtherZone
-	rankTried // it left an opening packet of this flow without an answer
+	rankSuspect // it left opening packets without an answer lately
+	rankTried   // it left an opening packet of this flow without an answer
 	rankSilent
 	rankNever
 )
@@ -23,11 +25,11 @@
 // choose returns the backend server for a new flow, or nil. Within the best
 // rank it is the one that was used longest ago: slots are few, so two flows in
 // a row should not meet.
-func (s *Steerer) choose(list []*Server, tried []string) *Server {
+func (s *Steerer) choose(now time.Duration, list []*Server, tried []string) *Server {
 	var best *Server
 	bestRank := rankNever
 	for _, server := range list {
-		r := s.rankOf(server, tried)
+		r := s.rankOf(now, server, tried)
 		if r < bestRank || r == bestRank && best != nil && s.used[server.ID] < s.used[best.ID] {
 			best, bestRank = server, r
 		}
@@ -35,7 +37,7 @@
 	return best
 }
 
-func (s *Steerer) rankOf(server *Server, tried []string) rank {
+func (s *Steerer) rankOf(now time.Duration, server *Server, tried []string) rank {
 	switch {
 	case server.Status >= catalog.Draining:
 		return rankNever
@@ -43,6 +45,8 @@
 		return rankSilent
 	case slices.Contains(tried, server.ID):
 		return rankTried
+	case s.suspects.holds(now, server):
+		return rankSuspect
 	case server.Zone != s.zone:
 		return rankOtherZone
 	}
--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -58,10 +58,11 @@
 	NoServer                   // no backend server of the service takes flows
 	UnknownToken               // no backend server with this token is known
 	ServerGone                 // the flow's backend server has ended
+	OpenAlready                // a copy of an opening packet came after its flow was open
 )
 
 var reasonNames = [...]string{
-	"by_token", "placed", "placed_again", "no_state", "no_route", "no_server", "unknown_token", "server_gone",
+	"by_token", "placed", "placed_again", "no_state", "no_route", "no_server", "unknown_token", "server_gone", "open_already",
 }
 
 // String returns the name of the reason.
@@ -72,21 +73,31 @@
 	Verdict Verdict
 	Reason  Reason
 	Server  *Server // of Forward
+	// Opened is how long the flow took to open, on its first packet after the
+	// opening one, else 0.
+	Opened time.Duration
+	// Unanswered is a backend server that left an opening packet of this flow
+	// without an answer, or nil. Others should hear of it.
+	Unanswered *Server
 }
 
 // Steerer decides for one entry host. It is not safe for concurrent use.
 type Steerer struct {
-	zone   string
-	table  *Table
-	opened map[Flow]opening
-	used   map[string]time.Duration // when a flow was last placed on a backend server, by id
+	zone     string
+	table    *Table
+	opened   map[Flow]opening
+	used     map[string]time.Duration // when a flow was last placed on a backend server, by id
+	suspects suspects
 }
 
 // opening is a flow that was placed here and whose caller may send its opening
 // packet again.
 type opening struct {
-	at    time.Duration
-	tried []string // ids
+	first    time.Duration // when its first opening packet came
+	at       time.Duration // when its latest one came
+	last     *Server       // to which that one went
+	tried    []string      // ids
+	answered bool          // its caller went on
 }
 
 // openingMemory is for how long a placed flow is remembered: its caller sends
@@ -95,7 +106,7 @@
 
 // New returns a steerer for a host in an availability zone.
 func New(zone string) *Steerer {
-	return &Steerer{zone: zone, table: Build(nil, nil), opened: map[Flow]opening{}, used: map[string]time.Duration{}}
+	return &Steerer{zone: zone, table: Build(nil, nil), opened: map[Flow]opening{}, used: map[string]time.Duration{}, suspects: newSuspects()}
 }
 
 // Use puts a table in force. One with an older document is refused: a host
@@ -125,9 +136,24 @@
 	case server.Status == catalog.Gone:
 		return Decision{Verdict: Refuse, Reason: ServerGone, Server: server}
 	}
-	return Decision{Verdict: Forward, Reason: ByToken, Server: server}
+	return Decision{Verdict: Forward, Reason: ByToken, Server: server, Opened: s.confirm(now, p.Flow(), server)}
 }
 
+// confirm notes that a flow placed here is open, and returns how long that took.
+func (s *Steerer) confirm(now time.Duration, f Flow, server *Server) time.Duration {
+	o, ok := s.opened[f]
+	if !ok || o.answered {
+		return 0
+	}
+	o.answered = true
+	s.opened[f] = o
+	s.suspects.clear(now, server.ID)
+	return now - o.first
+}
+
+// Suspect notes that another host got no answer from a backend server.
+func (s *Steerer) Suspect(now time.Duration, id string, born int64) { s.suspects.add(now, id, born) }
+
 // open places a new flow.
 func (s *Steerer) open(now time.Duration, p Packet) Decision {
 	if !s.table.Ready() {
@@ -142,16 +168,32 @@
 	if p.Copy == 0 || now-before.at > openingMemory {
 		before = opening{}
 	}
-	server := s.choose(s.table.services[targetOf(route, flow)], before.tried)
-	if server == nil {
-		return Decision{Verdict: Refuse, Reason: NoServer}
+	if before.answered {
+		return Decision{Verdict: Drop, Reason: OpenAlready} // a late copy
 	}
-	s.used[server.ID] = now
-	s.opened[flow] = opening{at: now, tried: append(before.tried, server.ID)}
-	if len(before.tried) > 0 {
-		return Decision{Verdict: Forward, Reason: PlacedAgain, Server: server}
+	d := Decision{Verdict: Forward, Reason: Placed}
+	if before.last != nil {
+		d.Reason, d.Unanswered = PlacedAgain, s.unanswered(now, before.last)
+	} else {
+		before.first = now
+	}
+	d.Server = s.choose(now, s.table.services[targetOf(route, flow)], before.tried)
+	if d.Server == nil {
+		return Decision{Verdict: Refuse, Reason: NoServer, Unanswered: d.Unanswered}
+	}
+	s.used[d.Server.ID] = now
+	s.opened[flow] = opening{first: before.first, at: now, last: d.Server, tried: append(before.tried, d.Server.ID)}
+	return d
+}
+
+// unanswered notes that a backend server left an opening packet without an
+// answer. It returns it if others should hear of it.
+func (s *Steerer) unanswered(now time.Duration, server *Server) *Server {
+	s.suspects.add(now, server.ID, server.Born)
+	if !s.suspects.proven(now) {
+		return nil
 	}
-	return Decision{Verdict: Forward, Reason: Placed, Server: server}
+	return server
 }
 
 // Forget drops what is no longer needed. It is called about once a second.
@@ -161,6 +203,7 @@
 			delete(s.opened, flow)
 		}
 	}
+	s.suspects.forget(now)
 	for id := range s.used {
 		if s.table.tokens[TokenOf(id)] == nil {
 			delete(s.used, id)
--- a/internal/steering/steering_test.go
+++ b/internal/steering/steering_test.go
@@ -198,3 +198,60 @@
 		}
 	})
 }
+
+func TestUnansweredServersAreAvoided(t *testing.T) {
+	c := qt.New(t)
+	s := steererOf(t, backend("x1", "orders", "a", catalog.Ready), backend("x2", "orders", "b", catalog.Ready))
+	first := s.Decide(0, syn(1, orders, 0))
+	c.Assert(first.Server.ID, qt.Equals, "x1")
+	d := s.Decide(200*time.Millisecond, syn(1, orders, 1))
+	c.Assert(d.Server.ID, qt.Equals, "x2")
+	c.Assert(d.Unanswered, qt.IsNil, qt.Commentf("nobody has answered this host, so the fault may be its own"))
+	c.Assert(s.Decide(300*time.Millisecond, syn(2, orders, 0)).Server.ID, qt.Equals, "x2")
+	c.Assert(s.Decide(200*time.Millisecond+suspectFor, syn(3, orders, 0)).Server.ID, qt.Equals, "x1")
+}
+
+func TestSuspicionIsToldOnceOthersAnswer(t *testing.T) {
+	c := qt.New(t)
+	s := steererOf(t, backend("x1", "orders", "a", catalog.Ready), backend("x2", "orders", "b", catalog.Ready))
+	s.Decide(0, syn(1, orders, 0))
+	s.Decide(200*time.Millisecond, syn(1, orders, 1))
+	opened := s.Decide(202*time.Millisecond, Packet{Caller: callerOf(1), Route: orders, Token: TokenOf("x2")})
+	c.Assert(opened.Opened, qt.Equals, 202*time.Millisecond)
+	again := s.Decide(210*time.Millisecond, Packet{Caller: callerOf(1), Route: orders, Token: TokenOf("x2")})
+	c.Assert(again.Opened, qt.Equals, time.Duration(0))
+	s.suspects.clear(210*time.Millisecond, "x1")
+	c.Assert(s.Decide(300*time.Millisecond, syn(2, orders, 0)).Server.ID, qt.Equals, "x1")
+	d := s.Decide(500*time.Millisecond, syn(2, orders, 1))
+	c.Assert(d.Unanswered.ID, qt.Equals, "x1")
+}
+
+func TestSuspicionEnds(t *testing.T) {
+	c := qt.New(t)
+	s := steererOf(t, backend("x1", "orders", "a", catalog.Ready), backend("x2", "orders", "b", catalog.Ready))
+	s.Suspect(0, "x1", 1)
+	c.Assert(s.Decide(0, syn(1, orders, 0)).Server.ID, qt.Equals, "x2")
+	s.suspects.clear(0, "x1")
+	c.Assert(s.Decide(0, syn(2, orders, 0)).Server.ID, qt.Equals, "x1", qt.Commentf("it answered"))
+	s.Suspect(0, "x1", 0)
+	c.Assert(s.Decide(0, syn(3, orders, 0)).Server.ID, qt.Equals, "x1", qt.Commentf("an earlier start was meant"))
+	for range 100 {
+		s.Suspect(0, "x1", 1)
+	}
+	c.Assert(s.Decide(maxSuspectFor, syn(4, orders, 0)).Server.ID, qt.Equals, "x1")
+}
+
+// If all are suspected, one of them is better than none.
+func TestSuspectsRatherThanNone(t *testing.T) {
+	s := steererOf(t, backend("x1", "orders", "a", catalog.Ready))
+	s.Suspect(0, "x1", 1)
+	qt.Assert(t, told(s.Decide(0, syn(1, orders, 0))), qt.Equals, "forward placed x1")
+}
+
+func TestLateCopyOfAnOpenFlow(t *testing.T) {
+	s := steererOf(t, backend("x1", "orders", "a", catalog.Ready), backend("x2", "orders", "a", catalog.Ready))
+	d := s.Decide(time.Millisecond, syn(1, orders, 0))
+	s.Decide(2*time.Millisecond, Packet{Caller: callerOf(1), Route: orders, Token: d.Server.Token})
+	qt.Assert(t, told(s.Decide(200*time.Millisecond, syn(1, orders, 1))), qt.Equals, "drop open_already")
+	qt.Assert(t, told(s.Decide(300*time.Millisecond, syn(1, orders, 0))), qt.Equals, "forward placed x2")
+}
