--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -37,14 +37,28 @@
 	leftOut int64
 }
 
-// New returns a log that writes to w from a goroutine of its own, until Close.
-func New(w io.Writer, now func() time.Time) *Log {
+// New returns a log of a host that writes to w from a goroutine of its own,
+// until Close.
+func New(w io.Writer, host string, now func() time.Time) *Log {
 	l := &Log{root: logrus.New(), out: newQueue(w), now: now, kinds: map[string]*budget{}}
 	l.root.SetOutput(l.out)
 	l.root.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	l.root.AddHook(hostField(host))
 	return l
 }
 
+// hostField adds the name of the host to each line.
+type hostField string
+
+// Levels returns all levels.
+func (hostField) Levels() []logrus.Level { return logrus.AllLevels }
+
+// Fire adds the field.
+func (h hostField) Fire(e *logrus.Entry) error {
+	e.Data["host"] = string(h)
+	return nil
+}
+
 // Output returns the writer behind the log, for other loggers of the process.
 func (l *Log) Output() io.Writer { return l.out }
 
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -151,7 +151,7 @@
 	}
 	h.host, err = control.Open(control.Options{
 		Name: own, Addr: own, Disk: folder, Replica: h.replica, Managed: true, Founders: h.founders(own),
-		Transport: control.NewRPCTransport(h.client), Clock: clock.Real{}, Log: part.Part("log"), Metrics: h.metrics,
+		Transport: control.NewRPCTransport(h.client), Clock: clock.Real{}, Log: part.Part("log").With("host", h.cfg.Name), Metrics: h.metrics,
 		Rand: rand.New(rand.NewPCG(randomNumber(), randomNumber())), Random: randomNumber,
 		Tuning: control.Tuning{
 			QuorumReads: true, Tick: logTick, SnapshotEntries: snapshotEntries, KeptEntries: keptEntries,
--- a/internal/fleet/controlfeed.go
+++ b/internal/fleet/controlfeed.go
@@ -72,7 +72,7 @@
 		h.links.met(by)
 	}
 	h.log.Event("follower", "a follower came or went", eventlog.Fields{
-		"host": by.Name, "address": by.Addr, "control": by.Control, "connected": connected,
+		"follower": by.Name, "address": by.Addr, "control": by.Control, "connected": connected,
 	})
 }
 
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -43,6 +43,7 @@
 	steerer  *steering.Steerer
 	catalog  *catalog.Catalog
 	document *document.Document
+	heardAt  time.Duration // when a followed control host last said anything
 	leaving  bool
 }
 
@@ -143,11 +144,12 @@
 // Updated takes what a control host tells.
 func (h *EntryHost) Updated(addr string, u feed.Update) {
 	h.links.told(addr, u)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.heardAt = h.now()
 	if u.Document == nil && len(u.Records) == 0 && len(u.Suspects) == 0 {
 		return
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
 	for _, x := range u.Suspects {
 		h.steerer.Suspect(h.now(), x.ID, x.Born)
 	}
--- a/internal/fleet/main.go
+++ b/internal/fleet/main.go
@@ -36,18 +36,18 @@
 	if err != nil {
 		return err
 	}
-	log := eventlog.New(out, time.Now)
+	log := eventlog.New(out, settings.cfg.Name, time.Now)
 	defer log.Close(logCloseLimit)
 	settings.log = log
 	cfg := settings.cfg
 	h, err := start(cfg, a, log)
 	if err != nil {
-		log.Event("stop", "could not start", eventlog.Fields{"host": cfg.Name, "error": err.Error()})
+		log.Event("stop", "could not start", eventlog.Fields{"error": err.Error()})
 		return err
 	}
-	log.Event("start", "started", eventlog.Fields{"host": cfg.Name, "role": cfg.Role, "zone": cfg.Zone, "first_start": cfg.FirstStart})
+	log.Event("start", "started", eventlog.Fields{"role": cfg.Role, "zone": cfg.Zone, "first_start": cfg.FirstStart})
 	reason := serve(ctx, h, settings, signals)
-	log.Event("stop", "stops", eventlog.Fields{"host": cfg.Name, "reason": reason})
+	log.Event("stop", "stops", eventlog.Fields{"reason": reason})
 	h.Stop()
 	return nil
 }
--- a/internal/fleet/packets.go
+++ b/internal/fleet/packets.go
@@ -61,7 +61,7 @@
 	}
 	h.mu.Lock()
 	d := h.steerer.Decide(h.now(), packet)
-	version, aim := h.steerer.Table().Version, h.steerer.Table().Aim(packet.Route)
+	table, age := h.steerer.Table(), h.now()-h.heardAt
 	h.mu.Unlock()
 	h.counts.byReason[d.Reason].Inc(1)
 	if d.Opened > 0 {
@@ -70,10 +70,10 @@
 	if d.Unanswered != nil {
 		h.tellSuspicion(d.Unanswered)
 	}
-	h.logDecision(datagram, packet, d, version)
+	h.logDecision(datagram, packet, d, inputs{version: table.Version, age: age})
 	switch d.Verdict {
 	case steering.Forward:
-		h.forward(buf, packet, d, aim)
+		h.forward(buf, packet, d, table.Aim(packet.Route))
 	case steering.Refuse:
 		h.refuse(datagram, packet)
 	}
@@ -113,9 +113,15 @@
 	h.sender.send(h.format.AppendReset(nil, datagram), netip.AddrPortFrom(p.Caller.Addr(), port))
 }
 
+// inputs are what a decision was based on, besides the packet.
+type inputs struct {
+	version uint64        // of the document
+	age     time.Duration // since a control host last said anything
+}
+
 // logDecision writes a line for each decision that places, refuses or drops. A
 // packet of an open flow only gets one if a request starts in it.
-func (h *EntryHost) logDecision(datagram []byte, p steering.Packet, d steering.Decision, version uint64) {
+func (h *EntryHost) logDecision(datagram []byte, p steering.Packet, d steering.Decision, in inputs) {
 	request := ""
 	if d.Reason == steering.ByToken {
 		if request = h.format.RequestID(datagram); request == "" {
@@ -126,7 +132,11 @@
 		return
 	}
 	fields := eventlog.Fields{
-		"caller": p.Caller, "route": p.Route, "verdict": d.Verdict.String(), "copy": p.Copy, "version": version,
+		"caller": p.Caller, "route": p.Route, "verdict": d.Verdict.String(),
+		"version": in.version, "feed_age_ms": in.age.Milliseconds(),
+	}
+	if p.Opening {
+		fields["copy"] = p.Copy
 	}
 	if request != "" {
 		fields["request"] = request
--- a/internal/fleet/system_test.go
+++ b/internal/fleet/system_test.go
@@ -41,7 +41,7 @@
 		base := probe.Addr().(*net.TCPAddr).Port
 		_ = probe.Close()
 		if base+portsPerHost < 65536 && freeEverywhere(base) {
-			log := eventlog.New(io.Discard, time.Now)
+			log := eventlog.New(io.Discard, "test", time.Now)
 			t.Cleanup(func() { log.Close(time.Second) })
 			return &system{t: t, base: base, folder: t.TempDir(), controls: map[int]*fleet.ControlHost{}, log: log}
 		}
