Give new flows to backend servers that begin to drain rather than none

Cause: when all backend servers of a service drain at once, callers were refused at once, though a draining one goes on for a stated time. The host must have seen the drain begin, and uses 0.4 of the stated time.

--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -40,6 +40,7 @@
 	Data         string   `json:"data"`         // data folder, control
 	HeartbeatMs  int      `json:"heartbeatMs"`  // between announcements of a backend server
 	TolerateLoss int      `json:"tolerateLoss"` // control hosts that may be lost at once
+	DrainMs      int      `json:"drainMs"`      // for which a backend server goes on after it was heard to drain
 	LinkMbps     float64  `json:"linkMbps"`     // of the host's link, in Mbit/s; 0 if it never binds
 	GraceS       float64  `json:"graceS"`       // seconds from SIGTERM to SIGKILL
 }
@@ -148,6 +149,14 @@
 	return list
 }
 
+// drainUsePart is the part of the time for which a backend server goes on that
+// new flows may use; the rest is for news on their way.
+const drainUsePart = 0.4
+
+func (c Config) drainUse() time.Duration {
+	return time.Duration(drainUsePart * float64(c.DrainMs) * float64(time.Millisecond))
+}
+
 // Heartbeat returns the interval between announcements of a backend server.
 func (c Config) Heartbeat() time.Duration { return time.Duration(c.HeartbeatMs) * time.Millisecond }
 
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -52,7 +52,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &EntryHost{
 		cfg: cfg, log: log, metrics: metrics.New(), format: a.Packets(), started: time.Now(), ctx: ctx, cancel: cancel,
-		steerer: steering.New(cfg.Zone), catalog: catalog.New(catalog.Config{Interval: cfg.Heartbeat()}),
+		steerer: steering.New(steering.Config{Zone: cfg.Zone, DrainUse: cfg.drainUse()}), catalog: catalog.New(catalog.Config{Interval: cfg.Heartbeat()}),
 	}
 	h.counts = newPacketCounts(h.metrics)
 	h.links = newLinks(ctx, feed.Presence{Name: cfg.Name, Zone: cfg.Zone, Addr: cfg.feedAddr()}, h, log)
@@ -160,7 +160,7 @@
 		h.log.Event("version", "a document is in force", eventlog.Fields{"version": u.Document.Version, "from": addr})
 	}
 	if changed {
-		h.steerer.Use(steering.Build(h.document, h.catalog.Since(0, "")))
+		h.steerer.Use(h.now(), steering.Build(h.document, h.catalog.Since(0, "")))
 		h.logBelief(addr, u.Records)
 	}
 }
--- a/internal/steering/choose.go
+++ b/internal/steering/choose.go
@@ -16,8 +16,9 @@
 const (
 	rankOwnZone rank = iota
 	rankOtherZone
-	rankSuspect // it left opening packets without an answer lately
-	rankTried   // it left an opening packet of this flow without an answer
+	rankSuspect  // it left opening packets without an answer lately
+	rankTried    // it left an opening packet of this flow without an answer
+	rankDraining // it has begun to drain just now
 	rankSilent
 	rankNever
 )
@@ -39,6 +40,8 @@
 
 func (s *Steerer) rankOf(now time.Duration, server *Server, tried []string) rank {
 	switch {
+	case server.Status == catalog.Draining && s.drainUsable(now, server):
+		return rankDraining
 	case server.Status >= catalog.Draining:
 		return rankNever
 	case server.Status == catalog.Silent:
--- a/internal/steering/steering_test.go
+++ b/internal/steering/steering_test.go
@@ -27,6 +27,8 @@
 	}
 }
 
+const drainUse = time.Second
+
 func backend(id, service, zone string, status catalog.Status) catalog.Record {
 	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, id[len(id)-1]}), 80)
 	return catalog.Record{
@@ -36,8 +38,8 @@
 }
 
 func steererOf(t *testing.T, records ...catalog.Record) *Steerer {
-	s := New("a")
-	qt.Assert(t, s.Use(Build(settings(1), records)), qt.IsTrue)
+	s := New(Config{Zone: "a", DrainUse: drainUse})
+	qt.Assert(t, s.Use(0, Build(settings(1), records)), qt.IsTrue)
 	return s
 }
 
@@ -83,7 +85,7 @@
 }
 
 func TestWithoutSettingsNothingIsRefused(t *testing.T) {
-	s := New("a")
+	s := New(Config{Zone: "a", DrainUse: drainUse})
 	qt.Assert(t, told(s.Decide(0, syn(1, orders, 0))), qt.Equals, "drop no_state")
 }
 
@@ -148,9 +150,9 @@
 
 func TestOlderTableIsRefused(t *testing.T) {
 	c := qt.New(t)
-	s := New("a")
-	c.Assert(s.Use(Build(settings(2), nil)), qt.IsTrue)
-	c.Assert(s.Use(Build(settings(1), nil)), qt.IsFalse)
+	s := New(Config{Zone: "a", DrainUse: drainUse})
+	c.Assert(s.Use(0, Build(settings(2), nil)), qt.IsTrue)
+	c.Assert(s.Use(0, Build(settings(1), nil)), qt.IsFalse)
 	c.Assert(s.Table().Version, qt.Equals, uint64(2))
 }
 
@@ -184,8 +186,8 @@
 	for n := range 150 {
 		records = append(records, backend(fmt.Sprintf("i-%d", n), "orders", "a", catalog.Ready))
 	}
-	s := New("a")
-	s.Use(Build(settings(1), records))
+	s := New(Config{Zone: "a", DrainUse: drainUse})
+	s.Use(0, Build(settings(1), records))
 	packet := Packet{Caller: callerOf(1), Route: orders, Token: TokenOf("i-7")}
 	b.Run("open flow", func(b *testing.B) {
 		for b.Loop() {
@@ -255,3 +257,23 @@
 	qt.Assert(t, told(s.Decide(200*time.Millisecond, syn(1, orders, 1))), qt.Equals, "drop open_already")
 	qt.Assert(t, told(s.Decide(300*time.Millisecond, syn(1, orders, 0))), qt.Equals, "forward placed x2")
 }
+
+// A draining backend server still takes flows for a while, which is better than
+// to refuse callers if there is no other.
+func TestDrainingRatherThanNone(t *testing.T) {
+	c := qt.New(t)
+	s := steererOf(t, backend("x1", "orders", "a", catalog.Ready))
+	s.Use(time.Second, Build(settings(1), []catalog.Record{backend("x1", "orders", "a", catalog.Draining)}))
+	c.Assert(told(s.Decide(time.Second, syn(1, orders, 0))), qt.Equals, "forward placed x1")
+	c.Assert(told(s.Decide(time.Second+drainUse, syn(2, orders, 0))), qt.Equals, "refuse no_server")
+	s.Use(2*time.Second, Build(settings(1), []catalog.Record{
+		backend("x1", "orders", "a", catalog.Draining), backend("x2", "orders", "b", catalog.Ready),
+	}))
+	c.Assert(told(s.Decide(time.Second, syn(3, orders, 0))), qt.Equals, "forward placed x2")
+}
+
+// A host that does not know since when a backend server drains gives it none.
+func TestDrainingForAnUnknownTime(t *testing.T) {
+	s := steererOf(t, backend("x1", "orders", "a", catalog.Draining))
+	qt.Assert(t, told(s.Decide(0, syn(1, orders, 0))), qt.Equals, "refuse no_server")
+}
