--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -84,19 +84,20 @@
 }
 
 // Write writes a line that Allow has let through. It tells how many of its kind
-// were left out before it.
+// were left out, and how many lines the output did not take, since the start:
+// a line that is lost itself then takes no count with it.
 func (l *Log) Write(kind, message string, fields Fields) {
 	l.mu.Lock()
 	leftOut := int64(0)
 	if b := l.kinds[kind]; b != nil {
-		leftOut, b.leftOut = b.leftOut, 0
+		leftOut = b.leftOut
 	}
 	l.mu.Unlock()
 	entry := l.root.WithFields(fields).WithField("kind", kind)
 	if leftOut > 0 {
 		entry = entry.WithField("left_out", leftOut)
 	}
-	if lost := l.out.takeLost(); lost > 0 {
+	if lost := l.out.lostLines(); lost > 0 {
 		entry = entry.WithField("lost_lines", lost)
 	}
 	entry.Info(message)
@@ -147,12 +148,11 @@
 	return len(p), nil
 }
 
-func (q *queue) takeLost() int64 {
+// lostLines returns how many lines the output did not take so far.
+func (q *queue) lostLines() int64 {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	lost := q.lost
-	q.lost = 0
-	return lost
+	return q.lost
 }
 
 func (q *queue) close(limit time.Duration) {
--- /dev/null
+++ b/internal/eventlog/eventlog_test.go
@@ -0,0 +1,101 @@
+package eventlog
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// output collects lines; it blocks while it is locked.
+type output struct {
+	mu    sync.Mutex
+	lines []string
+}
+
+func (o *output) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.lines = append(o.lines, strings.TrimSpace(string(p)))
+	return len(p), nil
+}
+
+// decoded returns the lines that were written, once the log is closed.
+func (o *output) decoded(c *qt.C) []map[string]any {
+	var list []map[string]any
+	for _, line := range o.lines {
+		fields := map[string]any{}
+		c.Assert(json.Unmarshal([]byte(line), &fields), qt.IsNil)
+		list = append(list, fields)
+	}
+	return list
+}
+
+// clock is the time of a test.
+type clock struct{ now time.Time }
+
+func (c *clock) read() time.Time { return c.now }
+
+const longEnough = time.Minute // only a blocked output waits for that long
+
+func TestLine(t *testing.T) {
+	c := qt.New(t)
+	out, now := &output{}, &clock{time.Unix(100, 0)}
+	l := New(out, "entry-1", now.read)
+	l.Event("placed", "steered a packet", Fields{"backend": "i-1"})
+	l.Close(longEnough)
+	lines := out.decoded(c)
+	c.Assert(lines, qt.HasLen, 1)
+	for name, want := range map[string]string{"host": "entry-1", "kind": "placed", "msg": "steered a packet", "backend": "i-1"} {
+		c.Assert(lines[0][name], qt.Equals, want)
+	}
+	l.Event("placed", "after the end", nil)
+	c.Assert(out.lines, qt.HasLen, 1)
+}
+
+func TestBudget(t *testing.T) {
+	c := qt.New(t)
+	out, now := &output{}, &clock{time.Unix(100, 0)}
+	l := New(out, "entry-1", now.read)
+	for range 3 * budgetPerKind {
+		l.Event("placed", "x", nil)
+	}
+	l.Event("start", "of another kind", nil)
+	now.now = now.now.Add(budgetWindow)
+	l.Event("placed", "next window", nil)
+	l.Close(longEnough)
+	lines := out.decoded(c)
+	c.Assert(lines, qt.HasLen, budgetPerKind+2)
+	c.Assert(lines[len(lines)-1]["left_out"], qt.Equals, float64(2*budgetPerKind))
+}
+
+// A blocked output loses lines, and nobody waits for it.
+func TestBlockedOutput(t *testing.T) {
+	c := qt.New(t)
+	out, now := &output{}, &clock{time.Unix(100, 0)}
+	l := New(out, "entry-1", now.read)
+	out.mu.Lock()
+	for i := range 2 * queuedLines {
+		l.Event(fmt.Sprintf("kind-%d", i), "x", nil)
+	}
+	l.Close(0)
+	out.mu.Unlock()
+	<-l.out.done
+	written := len(out.decoded(c))
+	c.Assert(written >= queuedLines && written <= queuedLines+1, qt.IsTrue, qt.Commentf("%d lines", written))
+	c.Assert(l.out.lostLines(), qt.Equals, int64(2*queuedLines-written))
+}
+
+func TestLostLinesAreTold(t *testing.T) {
+	c := qt.New(t)
+	out, now := &output{}, &clock{time.Unix(100, 0)}
+	l := New(out, "entry-1", now.read)
+	l.out.lost = 7
+	l.Event("start", "x", nil)
+	l.Close(longEnough)
+	c.Assert(out.decoded(c)[0]["lost_lines"], qt.Equals, float64(7))
+}
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -119,12 +119,13 @@
 	callers  map[string]bool
 	backends map[string]bool
 	hosts    map[string]bool
-	own      []Line // those that the query names directly
+	services map[string]bool // for which no backend server was found
+	own      []Line          // those that the query names directly
 	from, to time.Time
 }
 
 func newStory(lines []Line, q Query) *story {
-	s := &story{query: q, callers: map[string]bool{}, backends: map[string]bool{}, hosts: map[string]bool{}}
+	s := &story{query: q, callers: map[string]bool{}, backends: map[string]bool{}, hosts: map[string]bool{}, services: map[string]bool{}}
 	for _, l := range lines {
 		if q.Request != "" && l.field("request") == q.Request {
 			s.callers[l.field("caller")] = true
@@ -165,6 +166,8 @@
 	s.hosts[l.Host] = true
 	if b := l.field("backend"); b != "" {
 		s.backends[b] = true
+	} else if name := l.field("service"); name != "" {
+		s.services[name] = true
 	}
 }
 
@@ -178,7 +181,8 @@
 		return false
 	}
 	aboutBackend := s.backends[l.field("backend")] && l.field("caller") == ""
-	return aboutBackend || s.hosts[l.Host] && slices.Contains(beliefs, l.Kind)
+	aboutService := l.Kind == "backend" && s.services[l.field("service")]
+	return aboutBackend || s.hosts[l.Host] && (aboutService || slices.Contains(beliefs, l.Kind))
 }
 
 // Write writes a story, a line each: time, host, kind, message and fields.
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -34,10 +34,13 @@
 
 // Times and limits of a control host.
 const (
-	controlTick     = 250 * time.Millisecond
-	logTick         = 50 * time.Millisecond
-	getTimeout      = 800 * time.Millisecond  // operators give up after a second
-	putTimeout      = 2500 * time.Millisecond // an accepted document may still be committed after the operator left
+	controlTick = 250 * time.Millisecond
+	logTick     = 50 * time.Millisecond
+	getTimeout  = 800 * time.Millisecond  // operators give up after a second
+	putTimeout  = 2500 * time.Millisecond // an accepted document may still be committed after the operator left
+	// noQuorumTimeout is how long a call waits while this host is out of touch
+	// with a quorum: an election may be about to end that.
+	noQuorumTimeout = 300 * time.Millisecond
 	snapshotEntries = 200
 	keptEntries     = 50
 	shutdownLimit   = 500 * time.Millisecond
@@ -205,14 +208,18 @@
 
 // Put puts a document in force.
 func (h *ControlHost) Put(ctx context.Context, d *document.Document) error {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), putTimeout)
+	ctx, cancel := h.withLimit(context.WithoutCancel(ctx), putTimeout)
 	defer cancel()
 	held := h.documentVersion()
 	outcome := "held"
 	var err error
 	if d.Version > held {
+		began := h.now()
 		_, err = h.host.Propose(ctx, state.Command{Document: d})
 		outcome = outcomeOf(err)
+		if err == nil {
+			h.metrics.Timing("control.commit_ms").Update((h.now() - began).Milliseconds())
+		}
 	}
 	h.log.Event("document", "answered an operator's document", eventlog.Fields{
 		"version": d.Version, "held": held, "routes": len(d.Routes), "outcome": outcome,
@@ -220,6 +227,15 @@
 	return err
 }
 
+// withLimit bounds a call that needs a quorum. What likely cannot be answered is
+// refused early, so that its caller asks another host.
+func (h *ControlHost) withLimit(ctx context.Context, limit time.Duration) (context.Context, context.CancelFunc) {
+	if !h.host.Status().Current {
+		limit = noQuorumTimeout
+	}
+	return context.WithTimeout(ctx, limit)
+}
+
 func outcomeOf(err error) string {
 	if err == nil {
 		return "accepted"
@@ -239,7 +255,7 @@
 
 // Get returns the newest document.
 func (h *ControlHost) Get(ctx context.Context) (*document.Document, error) {
-	ctx, cancel := context.WithTimeout(ctx, getTimeout)
+	ctx, cancel := h.withLimit(ctx, getTimeout)
 	defer cancel()
 	if err := h.host.Current(ctx); err != nil {
 		h.log.Event("read", "could not prove which document is the newest", eventlog.Fields{"error": err.Error()})
--- a/internal/fleet/packets.go
+++ b/internal/fleet/packets.go
@@ -138,6 +138,9 @@
 	if p.Opening {
 		fields["copy"] = p.Copy
 	}
+	if d.Service != "" {
+		fields["service"] = d.Service
+	}
 	if request != "" {
 		fields["request"] = request
 	}
--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -73,6 +73,7 @@
 	Verdict Verdict
 	Reason  Reason
 	Server  *Server // of Forward
+	Service string  // for which a backend server was looked for
 	// Opened is how long the flow took to open, on its first packet after the
 	// opening one, else 0.
 	Opened time.Duration
@@ -209,15 +210,15 @@
 	if before.answered {
 		return Decision{Verdict: Drop, Reason: OpenAlready} // a late copy
 	}
-	d := Decision{Verdict: Forward, Reason: Placed}
+	d := Decision{Verdict: Forward, Reason: Placed, Service: targetOf(route, flow)}
 	if before.last != nil {
 		d.Reason, d.Unanswered = PlacedAgain, s.unanswered(now, before.last)
 	} else {
 		before.first = now
 	}
-	d.Server = s.choose(now, s.table.services[targetOf(route, flow)], before.tried)
+	d.Server = s.choose(now, s.table.services[d.Service], before.tried)
 	if d.Server == nil {
-		return Decision{Verdict: Refuse, Reason: NoServer, Unanswered: d.Unanswered}
+		return Decision{Verdict: Refuse, Reason: NoServer, Service: d.Service, Unanswered: d.Unanswered}
 	}
 	s.used[d.Server.ID] = now
 	s.opened[flow] = opening{first: before.first, at: now, last: d.Server, tried: append(before.tried, d.Server.ID)}
