Soak of real processes: faults from outside, promises checked from outside

Processes are killed, paused, stopped and restarted, disks lost or torn at the end, links delayed, silenced, cut one way or reset by loopback proxies, backend servers fall silent, crash, drain; callers, backend servers and two racing operators check what they see.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -47,6 +47,7 @@
 	Standin  standinCmd  `cmd:"" help:"Run a stand-in backend server, for trials."`
 	Demo     demoCmd     `cmd:"" help:"Run a small system on loopback and report what callers saw."`
 	Explain  storyCmd    `cmd:"" help:"Tell the story of a request, flow, backend server or document from logs of hosts."`
+	Soak     soakCmd     `cmd:"" help:"Run a deployment as separate processes, inject faults, and check what is promised."`
 	Load     loadCmd     `cmd:"" help:"Drive a small system on loopback with requests and report outcomes and latency."`
 }
 
--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -27,11 +27,12 @@
 	mu     sync.Mutex // orders writes
 }
 
-// Follow connects to a control host and hands its updates to the sink until the
+// Follow connects to the control host at addr through an address that leads to
+// it, and hands its updates to the sink until the
 // link ends or ctx is done. It gives up the connection attempt after limit.
-func Follow(ctx context.Context, addr string, limit time.Duration, self Presence, sink Sink) (*Link, error) {
+func Follow(ctx context.Context, addr, through string, limit time.Duration, self Presence, sink Sink) (*Link, error) {
 	dialer := net.Dialer{Timeout: limit, KeepAlive: -1} // the beats keep it alive
-	conn, err := dialer.DialContext(ctx, "tcp", addr)
+	conn, err := dialer.DialContext(ctx, "tcp", through)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -42,7 +42,10 @@
 	TolerateLoss int      `json:"tolerateLoss"` // control hosts that may be lost at once
 	DrainMs      int      `json:"drainMs"`      // for which a backend server goes on after it was heard to drain
 	LinkMbps     float64  `json:"linkMbps"`     // of the host's link, in Mbit/s; 0 if it never binds
-	GraceS       float64  `json:"graceS"`       // seconds from SIGTERM to SIGKILL
+	// Via names the addresses through which other hosts are reached where their
+	// own do not lead to them, by internal IP:port.
+	Via    map[string]string `json:"via"`
+	GraceS float64           `json:"graceS"` // seconds from SIGTERM to SIGKILL
 }
 
 const settingsRemedy = "correct the settings file"
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -101,7 +101,7 @@
 	h.presence = feed.Presence{
 		Name: h.cfg.Name, Zone: h.cfg.Zone, Addr: h.cfg.feedAddr(), Control: true, ID: h.host.Identity().ID,
 	}
-	h.links = newLinks(h.ctx, h.presence, h, h.log)
+	h.links = newLinks(h.ctx, h.presence, h.cfg.Via, h, h.log)
 	h.links.seeds(h.cfg.seedFeeds())
 	h.recall()
 	listener, err := net.Listen("tcp", h.cfg.feedAddr())
@@ -114,6 +114,7 @@
 		return unavailableAddress("api", err)
 	}
 	h.server = &http.Server{Handler: a.Control(h, netip.MustParseAddrPort(h.cfg.API)), ReadHeaderTimeout: time.Second}
+	h.metrics.GaugeFunc("control.votes", h.votes)
 	h.run(func() { _ = h.server.Serve(api) })
 	h.run(h.watchReplica)
 	h.run(h.loop)
@@ -147,6 +148,7 @@
 	}
 	traffic := new(atomic.Int64)
 	h.client = rpc.NewClient(traffic, nil)
+	h.client.ReachThrough(h.cfg.Via)
 	h.rpc = rpc.NewServer(listener, traffic)
 	part, err := logs.New(h.log.Output(), config.Log{Level: "info", Format: "json"})
 	if err != nil {
--- a/internal/fleet/links.go
+++ b/internal/fleet/links.go
@@ -27,6 +27,7 @@
 type links struct {
 	ctx  context.Context
 	self feed.Presence
+	via  map[string]string
 	sink feed.Sink
 	log  *eventlog.Log
 
@@ -49,8 +50,8 @@
 	heardAt  time.Time // when it, or another host in touch with it, was heard
 }
 
-func newLinks(ctx context.Context, self feed.Presence, sink feed.Sink, log *eventlog.Log) *links {
-	return &links{ctx: ctx, self: self, sink: sink, log: log, known: map[string]*knownHost{}}
+func newLinks(ctx context.Context, self feed.Presence, via map[string]string, sink feed.Sink, log *eventlog.Log) *links {
+	return &links{ctx: ctx, self: self, via: via, sink: sink, log: log, known: map[string]*knownHost{}}
 }
 
 // warm tells whether this host knows enough to work.
@@ -159,7 +160,11 @@
 
 // connect opens a link and waits for its end.
 func (l *links) connect(h *knownHost, timeout, pause time.Duration) {
-	link, err := feed.Follow(l.ctx, h.addr, timeout, l.self, l.sink)
+	through, ok := l.via[h.addr]
+	if !ok {
+		through = h.addr
+	}
+	link, err := feed.Follow(l.ctx, h.addr, through, timeout, l.self, l.sink)
 	l.mu.Lock()
 	h.dialing = false
 	if err != nil {
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -82,3 +82,10 @@
 	view := h.host.View()
 	return view.Membership.IsVoter(view.Self)
 }
+
+func (h *ControlHost) votes() int64 {
+	if h.Votes() {
+		return 1
+	}
+	return 0
+}
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -19,6 +19,7 @@
 type Client struct {
 	bytes *atomic.Int64
 	tls   func(host string) *tls.Config
+	via   map[string]string
 	mu    sync.Mutex
 	peers map[string]*peer
 }
@@ -35,6 +36,11 @@
 	return &Client{bytes: bytes, tls: tlsFor, peers: map[string]*peer{}}
 }
 
+// ReachThrough sets the addresses through which peers are reached, by their own
+// address. A peer that is not in it is reached at its own. It is called before
+// the first call.
+func (c *Client) ReachThrough(via map[string]string) { c.via = via }
+
 // Call calls a method of the peer at addr. reply points to the answer, which is
 // set before Call returns or not at all. A call that cannot be delivered
 // fails with kind Unavailable, as does one that outlives ctx: it may have run.
@@ -118,6 +124,9 @@
 }
 
 func (c *Client) dial(ctx context.Context, addr string) (net.Conn, error) {
+	if through, ok := c.via[addr]; ok {
+		addr = through
+	}
 	dialer := net.Dialer{Timeout: dialTimeout}
 	if c.tls == nil {
 		return dialer.DialContext(ctx, "tcp", addr)
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,40 @@
+package soak
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// seeds are those that CI plays: one to begin with, and each that ever failed,
+// with a line on the cause.
+var seeds = []struct {
+	seed   uint64
+	length time.Duration
+	cause  string
+}{
+	{1, 8 * time.Second, "the first one"},
+}
+
+func build(t *testing.T) string {
+	program := filepath.Join(t.TempDir(), "quayd")
+	out, err := exec.Command("go", "build", "-o", program, "greengagequay/cmd/quayd").CombinedOutput()
+	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
+	return program
+}
+
+func TestSeeds(t *testing.T) {
+	program := build(t)
+	for _, s := range seeds {
+		folder := t.TempDir()
+		report, err := Run(context.Background(), Config{Quayd: program, Folder: folder, Seed: s.seed, Length: s.length, Out: os.Stdout})
+		qt.Assert(t, err, qt.IsNil)
+		t.Logf("seed %d (%s): %v", s.seed, s.cause, report)
+		qt.Check(t, report.Violations, qt.HasLen, 0)
+	}
+}
