--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -154,14 +154,18 @@
 	if err != nil {
 		return err
 	}
-	h.host, err = control.Open(control.Options{
+	options := control.Options{
 		Name: own, Addr: own, Disk: folder, Replica: h.replica, Managed: true, Founders: h.founders(own),
-		Transport: control.NewRPCTransport(h.client), Clock: clock.Real{}, Log: part.Part("log").With("host", h.cfg.Name), Metrics: h.metrics,
+		Transport: control.NewRPCTransport(h.client), Clock: clock.Real{}, Metrics: h.metrics,
+		Log:  part.Part("log").With("host", h.cfg.Name),
 		Rand: rand.New(rand.NewPCG(randomNumber(), randomNumber())), Random: randomNumber,
 		Tuning: control.Tuning{
 			QuorumReads: true, Tick: logTick, SnapshotEntries: snapshotEntries, KeptEntries: keptEntries,
 		},
-	})
+	}
+	if h.host, err = control.Open(options); err != nil {
+		h.host, err = h.reopen(options, err)
+	}
 	if err != nil {
 		return err
 	}
@@ -172,6 +176,22 @@
 	return nil
 }
 
+// reopen starts with an empty data folder if the log is damaged. To the others
+// this host then has lost its disk: they remove its former self and take it in
+// as a new member. Without them nothing could be made good, so the damaged files
+// are kept.
+func (h *ControlHost) reopen(o control.Options, damage error) (*control.Host, error) {
+	if fault.KindOf(damage) != fault.Corrupt {
+		return nil, damage
+	}
+	h.log.Event("damage", "set the damaged log aside to join as a new member", eventlog.Fields{"error": damage.Error()})
+	if err := wal.SetAside(o.Disk); err != nil {
+		return nil, err
+	}
+	o.Founders = nil
+	return control.Open(o)
+}
+
 // founders returns the voters of a new log if this host is one of them: at the
 // first start of the whole deployment all hosts have the same seeds, so each
 // founder can start the log on its own.
--- a/internal/fleet/system_test.go
+++ b/internal/fleet/system_test.go
@@ -279,6 +279,32 @@
 	}
 }
 
+// A host whose synced log is damaged does not end in a loop: it joins as a new
+// member.
+func TestDamagedLogIsSetAside(t *testing.T) {
+	c := qt.New(t)
+	s := newSystem(t)
+	for host := 1; host <= 3; host++ {
+		s.startControl(host, true)
+	}
+	s.put(1, 1)
+	s.put(1, 2)
+	s.stopControl(2)
+	segments, err := filepath.Glob(filepath.Join(s.folder, "2", "log-*"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(segments, qt.HasLen, 1)
+	data, err := os.ReadFile(segments[0])
+	c.Assert(err, qt.IsNil)
+	data[len(data)/2] ^= 0xff
+	c.Assert(os.WriteFile(segments[0], data, 0o600), qt.IsNil)
+	s.startControl(2, false)
+	eventually(func() bool { return s.controls[2].Votes() })
+	c.Assert(s.get(2), qt.Equals, document(2))
+	kept, err := filepath.Glob(filepath.Join(s.folder, "2", "damaged-log-*"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(kept, qt.HasLen, 1)
+}
+
 // A fourth host waits as a learner and takes the place of one that is gone.
 func TestLostHostIsReplaced(t *testing.T) {
 	c := qt.New(t)
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -32,6 +32,8 @@
 	cmd     *exec.Cmd
 	exited  chan struct{}
 	ready   bool // it said so last
+	paused  bool
+	pauses  int // so far
 }
 
 func (s *soak) newProcess(number int, control bool) *process {
@@ -98,7 +100,7 @@
 		return fmt.Errorf("start %s: %w", p.name, err)
 	}
 	exited := make(chan struct{})
-	p.cmd, p.exited = cmd, exited
+	p.cmd, p.exited, p.paused = cmd, exited, false
 	go func() {
 		_ = cmd.Wait() // how it ended stands in its log
 		close(exited)
@@ -132,6 +134,13 @@
 		return
 	}
 	_ = p.cmd.Process.Signal(s) // it has ended if this fails
+	switch s {
+	case syscall.SIGSTOP:
+		p.paused = true
+		p.pauses++
+	case syscall.SIGCONT:
+		p.paused = false
+	}
 }
 
 func (p *process) resume() { p.signal(syscall.SIGCONT) }
@@ -142,7 +151,7 @@
 // finish sends a signal that ends the program and waits until it is gone.
 func (p *process) finish(s syscall.Signal) {
 	p.mu.Lock()
-	cmd, exited := p.cmd, p.exited
+	cmd, exited, paused, pauses := p.cmd, p.exited, p.paused, p.pauses
 	p.mu.Unlock()
 	if cmd == nil {
 		return
@@ -152,14 +161,26 @@
 		select {
 		case <-exited:
 		case <-time.After(grace + time.Second):
-			p.soak.checks.violate("%s did not end within its grace after %v", p.name, s)
+			if !paused && p.pausedSince(pauses) == 0 {
+				p.soak.checks.violate("%s did not end within its grace after %v", p.name, s)
+			}
 			_ = cmd.Process.Kill()
 		}
 	}
 	<-exited
 	p.mu.Lock()
-	p.cmd = nil
-	p.mu.Unlock()
+	defer p.mu.Unlock()
+	if p.cmd == cmd { // else another fault has ended and started it meanwhile
+		p.cmd = nil
+	}
+}
+
+// pausedSince returns how often the program was paused after a count: while it
+// stands still it cannot end.
+func (p *process) pausedSince(count int) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.pauses - count
 }
 
 // wipe removes the data folder of a host that does not run.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -19,6 +19,8 @@
 	cause  string
 }{
 	{1, 8 * time.Second, "the first one"},
+	{3, 10 * time.Second, "the soak paused an entry host that it had told to end, and blamed it for the time"},
+	{16, 10 * time.Second, "two faults stopped one entry host at once, and the soak started it twice"},
 }
 
 func build(t *testing.T) string {
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -19,6 +19,7 @@
 	snapshotPrefix = "snapshot-"
 	identityName   = "identity"
 	temporaryName  = "temporary"
+	damagedPrefix  = "damaged-"
 )
 
 // segment is one file of the log.
@@ -67,6 +68,23 @@
 	return l, stored, nil
 }
 
+// SetAside renames the files of a damaged log, so that the folder can be opened
+// as an empty one. Files that were set aside before are replaced.
+func SetAside(d Disk) error {
+	names, err := d.List()
+	if err != nil {
+		return fmt.Errorf("list data folder: %w", err)
+	}
+	for _, prefix := range []string{identityName, snapshotPrefix, segmentPrefix} {
+		for _, name := range withPrefix(names, prefix) {
+			if err := d.Rename(name, damagedPrefix+name); err != nil {
+				return fmt.Errorf("set aside %s: %w", d.Path(name), err)
+			}
+		}
+	}
+	return d.SyncDir()
+}
+
 func (l *Log) open(newID func() raft.ID) (Stored, error) {
 	names, err := l.disk.List()
 	if err != nil {
