--- /dev/null
+++ b/internal/feed/feed_test.go
@@ -0,0 +1,151 @@
+package feed
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"greengagequay/internal/catalog"
+)
+
+// source tells one record after the other.
+type source struct {
+	mu       sync.Mutex
+	revision uint64
+	changed  chan struct{}
+	follower chan bool
+	reports  chan Report
+}
+
+func newSource() *source {
+	return &source{changed: make(chan struct{}), follower: make(chan bool, 8), reports: make(chan Report, 8)}
+}
+
+func (s *source) Next(_ Presence, after Cursor) (Update, Cursor, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := Cursor{Revision: s.revision, Started: true}
+	if next == after {
+		return Update{}, after, false
+	}
+	var u Update
+	for r := after.Revision + 1; r <= s.revision; r++ {
+		u.Records = append(u.Records, catalog.Record{Heartbeat: catalog.Heartbeat{ID: string(rune('a' + r))}})
+	}
+	return u, next, true
+}
+
+func (s *source) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
+
+func (s *source) add() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *source) Followed(_ Presence, connected bool) { s.follower <- connected }
+func (s *source) Reported(_ Presence, r Report)       { s.reports <- r }
+
+// sink keeps what it is told.
+type sink struct {
+	connected chan bool
+	updates   chan Update
+}
+
+func (s *sink) Connected(_ string, connected bool) { s.connected <- connected }
+func (s *sink) Updated(_ string, u Update)         { s.updates <- u }
+
+// records waits for updates until n records have come.
+func (s *sink) records(n int) (ids string) {
+	for len(ids) < n {
+		for _, r := range (<-s.updates).Records {
+			ids += r.ID
+		}
+	}
+	return ids
+}
+
+const attemptLimit = 10 * time.Second // on a loaded machine
+
+func follow(c *qt.C, s *source) (*Link, *sink) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	server := Serve(listener, s)
+	c.Cleanup(server.Close)
+	k := &sink{connected: make(chan bool, 8), updates: make(chan Update, 100)}
+	addr := listener.Addr().String()
+	link, err := Follow(context.Background(), addr, addr, attemptLimit, Presence{Name: "e1"}, k)
+	c.Assert(err, qt.IsNil)
+	return link, k
+}
+
+func TestFollowerGetsWhatItLacks(t *testing.T) {
+	c := qt.New(t)
+	s := newSource()
+	s.add()
+	s.add()
+	link, k := follow(c, s)
+	c.Assert(k.records(2), qt.Equals, "bc")
+	c.Assert(<-k.connected, qt.IsTrue)
+	c.Assert(<-s.follower, qt.IsTrue)
+	s.add()
+	c.Assert(k.records(1), qt.Equals, "d")
+	link.Report(Report{Suspects: []Suspect{{ID: "x", Born: 3}}})
+	c.Assert((<-s.reports).Suspects, qt.DeepEquals, []Suspect{{ID: "x", Born: 3}})
+	link.Close()
+	c.Assert(<-s.follower, qt.IsFalse)
+	<-link.Done()
+	c.Assert(<-k.connected, qt.IsFalse)
+}
+
+// A host that accepts a connection and then says nothing is given up.
+func TestSilentHostIsGivenUp(t *testing.T) {
+	c := qt.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer listener.Close()
+	k := &sink{connected: make(chan bool, 8), updates: make(chan Update, 100)}
+	addr := listener.Addr().String()
+	link, err := Follow(context.Background(), addr, addr, attemptLimit, Presence{}, k)
+	c.Assert(err, qt.IsNil)
+	<-link.Done()
+	c.Assert(k.connected, qt.HasLen, 0)
+}
+
+func TestFrames(t *testing.T) {
+	c := qt.New(t)
+	var buf bytes.Buffer
+	c.Assert(writeFrame(&buf, Hello{From: Presence{Name: "e1", Zone: "a"}}), qt.IsNil)
+	whole := buf.Bytes()
+	var hello Hello
+	c.Assert(readFrame(bytes.NewReader(whole), &hello), qt.IsNil)
+	c.Assert(hello.From.Name, qt.Equals, "e1")
+	for n := range whole {
+		c.Assert(readFrame(bytes.NewReader(whole[:n]), &hello), qt.IsNotNil, qt.Commentf("%d bytes", n))
+	}
+	c.Assert(readFrame(bytes.NewReader([]byte{0xff, 0xff, 0xff, 0xff}), &hello), qt.ErrorMatches, ".*longer than.*")
+	c.Assert(readFrame(bytes.NewReader([]byte{0, 0, 0, 1, 0xff}), &hello), qt.ErrorMatches, "decode frame: .*")
+}
+
+func FuzzFrame(f *testing.F) {
+	var buf bytes.Buffer
+	if err := writeFrame(&buf, Update{Current: true, Suspects: []Suspect{{ID: "x"}}}); err != nil {
+		f.Fatal(err)
+	}
+	f.Add(buf.Bytes())
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		var u Update
+		_ = readFrame(bytes.NewReader(data), &u) // it must not panic
+	})
+}
--- /dev/null
+++ b/internal/fleet/config_test.go
@@ -0,0 +1,66 @@
+package fleet
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"greengagequay/internal/fault"
+)
+
+const entrySettings = `{
+  // an entry host
+  "name": "e1", "role": "entry", "zone": "a", "ip": "10.0.0.1", "packets": "10.0.0.1:1", "ready": "10.0.0.1:2",
+  "internal": [7000, 7010], "metrics": "10.0.0.1:3", "seeds": ["10.0.0.9:80"], "heartbeatMs": 1000, "drainMs": 3000,
+  "tolerateLoss": 1, "graceS": 6,
+}`
+
+func TestConfig(t *testing.T) {
+	c := qt.New(t)
+	cfg, err := ParseConfig([]byte(entrySettings))
+	c.Assert(err, qt.IsNil)
+	c.Assert(cfg.feedAddr(), qt.Equals, "10.0.0.1:7000")
+	c.Assert(logAddr(cfg.feedAddr()), qt.Equals, "10.0.0.1:7001")
+	c.Assert(cfg.seedFeeds(), qt.DeepEquals, []string{"10.0.0.9:7000"})
+	c.Assert(cfg.voters(), qt.Equals, 3)
+	c.Assert(cfg.drainUse(), qt.Equals, 1200*time.Millisecond)
+}
+
+func TestConfigRefuses(t *testing.T) {
+	tests := []struct{ name, old, new, message string }{
+		{"unknown field", `"name"`, `"nome"`, `.*unknown field "nome".*`},
+		{"field twice", `"zone": "a"`, `"zone": "a", "zone": "b"`, `.*zone.*`},
+		{"no name", `"e1"`, `""`, `.*"name" is empty.*`},
+		{"unknown role", `"entry"`, `"guest"`, `.*"role" is "guest".*`},
+		{"no data folder", `"entry"`, `"control", "api": "10.0.0.1:4"`, `.*"data" is empty.*`},
+		{"bad ip", `"10.0.0.1"`, `"here"`, `.*"ip".*`},
+		{"bad address", `"10.0.0.1:1"`, `"10.0.0.1"`, `.*"packets".*`},
+		{"bad seed", `["10.0.0.9:80"]`, `["x"]`, `.*"seeds", item 0.*`},
+		{"no internal port", `[7000, 7010]`, `[]`, `.*"internal".*`},
+		{"port out of range", `[7000, 7010]`, `[70000]`, `.*"internal".*`},
+		{"no heartbeat", `"heartbeatMs": 1000`, `"heartbeatMs": 0`, `.*"heartbeatMs" is 0.*`},
+		{"too much tolerance", `"tolerateLoss": 1`, `"tolerateLoss": 4`, `.*"tolerateLoss" is 4.*`},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			text := strings.Replace(entrySettings, tt.old, tt.new, 1)
+			qt.Assert(t, text, qt.Not(qt.Equals), entrySettings)
+			_, err := ParseConfig([]byte(text))
+			qt.Assert(t, err, qt.ErrorMatches, tt.message)
+			qt.Assert(t, fault.KindOf(err), qt.Equals, fault.Invalid)
+		})
+	}
+}
+
+func TestChangesThatNeedARestart(t *testing.T) {
+	c := qt.New(t)
+	was, err := ParseConfig([]byte(entrySettings))
+	c.Assert(err, qt.IsNil)
+	next := was
+	next.Seeds, next.FirstStart = []string{"10.0.0.8:80"}, true
+	c.Assert(was.needsRestart(next), qt.IsFalse)
+	next.Zone = "b"
+	c.Assert(was.needsRestart(next), qt.IsTrue)
+}
--- a/internal/fleet/system_test.go
+++ b/internal/fleet/system_test.go
@@ -19,6 +19,7 @@
 	"greengagequay/internal/eventlog"
 	"greengagequay/internal/fleet"
 	"greengagequay/platform"
+	"greengagequay/platform/standin"
 )
 
 // system is a deployment on loopback: each host has an address of its own, and
@@ -85,6 +86,13 @@
 	s.t.Cleanup(func() { s.stopControl(host) })
 }
 
+// startControls starts the three control hosts of a new deployment.
+func (s *system) startControls() {
+	for host := 1; host <= 3; host++ {
+		s.startControl(host, true)
+	}
+}
+
 func (s *system) stopControl(host int) {
 	if h := s.controls[host]; h != nil {
 		delete(s.controls, host)
@@ -125,14 +133,21 @@
 	}
 }
 
+var (
+	callerAddr = netip.MustParseAddr("127.0.0.8")
+	routeAddr  = netip.MustParseAddrPort("198.18.0.1:443")
+)
+
 func document(version int) string {
-	return fmt.Sprintf(`{"version":%d,"routes":[{"name":"r","host":"198.18.0.1","pathPrefix":"/443/","timeoutMs":1000,"service":"orders"}],
-"services":[{"name":"orders"}],"limits":{"idleTimeoutMs":15000}}`, version)
+	return string(standin.Encode(standin.Document{
+		Version: uint64(version), Services: []standin.Service{{Name: "orders"}},
+		Routes: []standin.Route{standin.RouteTo("orders", routeAddr)},
+	}))
 }
 
 func (s *system) put(host, version int) {
 	eventually(func() bool {
-		status, _ := s.call(host, "POST", "/api/Config.Put", document(version))
+		status, _ := s.call(host, "POST", standin.PutPath, document(version))
 		return status == http.StatusOK
 	})
 }
@@ -141,7 +156,7 @@
 	body := ""
 	eventually(func() bool {
 		var status int
-		status, body = s.call(host, "GET", "/api/Config.Get", "")
+		status, body = s.call(host, "GET", standin.GetPath, "")
 		return status == http.StatusOK
 	})
 	return body
@@ -151,7 +166,7 @@
 type backend struct {
 	id       string
 	conn     *net.UDPConn
-	sequence int
+	sequence uint64
 }
 
 func (s *system) backend(id string) *backend {
@@ -163,9 +178,11 @@
 
 func (s *system) announce(host int, b *backend, state string) {
 	b.sequence++
-	body := fmt.Sprintf(`{"service":"orders","address":"%s","zone":"z1","version":"v1","slots":2,"state":"%s","warmupLeftMs":0,"seq":%d,"born":1700000000000}`,
-		b.conn.LocalAddr(), state, b.sequence)
-	status, _ := s.call(host, "POST", "/api/Instances.Heartbeat/"+b.id, body)
+	body := standin.Encode(standin.Heartbeat{
+		Service: "orders", Address: b.conn.LocalAddr().(*net.UDPAddr).AddrPort(), Zone: "z1", Slots: 2,
+		State: state, Sequence: b.sequence, Born: 1_700_000_000_000,
+	})
+	status, _ := s.call(host, "POST", standin.HeartbeatPath(b.id), string(body))
 	qt.Assert(s.t, status, qt.Equals, http.StatusOK)
 }
 
@@ -174,27 +191,17 @@
 	buf := make([]byte, 2048)
 	n, err := b.conn.Read(buf)
 	qt.Assert(t, err, qt.IsNil)
-	return binary.BigEndian.Uint64(buf), buf[8:n]
+	return binary.BigEndian.Uint64(buf), buf[standin.TargetBytes:n]
 }
 
 // packet returns a packet of a caller: an opening one without a token, else one
 // with data.
 func packet(port uint16, token uint32) []byte {
-	data := []byte("GET / HTTP/1.1\r\nX-Request-Id: r1\r\n\r\n")
-	flags := byte(32)
-	if token == 0 {
-		data, flags = nil, 64
+	p := standin.Packet{Token: token, From: netip.AddrPortFrom(callerAddr, port), To: routeAddr, Flags: standin.SYN}
+	if token != 0 {
+		p.Flags, p.Data = standin.ACK, []byte("GET / HTTP/1.1\r\nX-Request-Id: r1\r\n\r\n")
 	}
-	p := make([]byte, 32)
-	binary.BigEndian.PutUint32(p, token)
-	binary.BigEndian.PutUint16(p[4:], port)
-	caller, route := netip.MustParseAddr("127.0.0.8").As4(), netip.MustParseAddr("198.18.0.1").As4()
-	copy(p[6:], caller[:])
-	copy(p[10:], route[:])
-	binary.BigEndian.PutUint16(p[14:], 443)
-	p[28] = flags
-	binary.BigEndian.PutUint16(p[30:], uint16(len(data)))
-	return append(p, data...)
+	return p.Encode()
 }
 
 func (s *system) sendTo(host int, datagram []byte) {
@@ -207,7 +214,7 @@
 
 func (s *system) waitReady(host int) {
 	eventually(func() bool {
-		req, err := http.NewRequest("GET", "http://"+s.addr(host, 1)+"/api/readiness", nil)
+		req, err := http.NewRequest("GET", "http://"+s.addr(host, 1)+standin.ReadyPath, nil)
 		qt.Assert(s.t, err, qt.IsNil)
 		status, _ := do(req)
 		return status == http.StatusOK
@@ -219,9 +226,7 @@
 func TestWholePath(t *testing.T) {
 	c := qt.New(t)
 	s := newSystem(t)
-	for host := 1; host <= 3; host++ {
-		s.startControl(host, true)
-	}
+	s.startControls()
 	s.startEntry(4)
 	s.startEntry(5)
 	s.put(1, 7)
@@ -263,9 +268,7 @@
 func TestDisksAreLostOneAfterTheOther(t *testing.T) {
 	c := qt.New(t)
 	s := newSystem(t)
-	for host := 1; host <= 3; host++ {
-		s.startControl(host, true)
-	}
+	s.startControls()
 	s.put(1, 1)
 	for host := 1; host <= 3; host++ {
 		s.stopControl(host)
@@ -284,9 +287,7 @@
 func TestDamagedLogIsSetAside(t *testing.T) {
 	c := qt.New(t)
 	s := newSystem(t)
-	for host := 1; host <= 3; host++ {
-		s.startControl(host, true)
-	}
+	s.startControls()
 	s.put(1, 1)
 	s.put(1, 2)
 	s.stopControl(2)
@@ -309,9 +310,7 @@
 func TestLostHostIsReplaced(t *testing.T) {
 	c := qt.New(t)
 	s := newSystem(t)
-	for host := 1; host <= 3; host++ {
-		s.startControl(host, true)
-	}
+	s.startControls()
 	s.put(1, 1)
 	s.startControl(6, false)
 	s.stopControl(2)
@@ -324,15 +323,13 @@
 func TestNoQuorum(t *testing.T) {
 	c := qt.New(t)
 	s := newSystem(t)
-	for host := 1; host <= 3; host++ {
-		s.startControl(host, true)
-	}
+	s.startControls()
 	s.put(1, 1)
 	s.stopControl(2)
 	s.stopControl(3)
-	status, _ := s.call(1, "GET", "/api/Config.Get", "")
+	status, _ := s.call(1, "GET", standin.GetPath, "")
 	c.Assert(status, qt.Equals, http.StatusServiceUnavailable)
-	status, _ = s.call(1, "POST", "/api/Config.Put", document(2))
+	status, _ = s.call(1, "POST", standin.PutPath, document(2))
 	c.Assert(status, qt.Equals, http.StatusServiceUnavailable)
 	first := s.backend("i-a1")
 	s.announce(1, first, "ready") // announcements need no quorum
