--- a/internal/cli/control.go
+++ b/internal/cli/control.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/binary"
 	"io"
 	"os"
 	"time"
@@ -138,15 +136,9 @@
 	if err != nil {
 		return err
 	}
-	revision, err := control.Restore(disk, c.Name, c.RPC, data, time.Now(), randomUint64)
+	revision, err := control.Restore(disk, c.Name, c.RPC, data, time.Now(), control.RandomNumber)
 	if err != nil {
 		return err
 	}
 	return e.print(map[string]any{"data": c.Data, "revision": revision}, "DATA\tREVISION", [][]any{{c.Data, revision}})
 }
-
-func randomUint64() uint64 {
-	var b [8]byte
-	_, _ = rand.Read(b[:]) // never fails
-	return binary.LittleEndian.Uint64(b[:])
-}
--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	crand "crypto/rand"
+	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -47,6 +49,13 @@
 	KeptEntries     uint64
 }
 
+// RandomNumber returns an unpredictable number.
+func RandomNumber() uint64 {
+	var b [8]byte
+	_, _ = crand.Read(b[:]) // never fails
+	return binary.BigEndian.Uint64(b[:])
+}
+
 // Peer is a control host of the settings.
 type Peer struct {
 	Name string
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/binary"
 	mathrand "math/rand/v2"
 
 	"greengagequay/internal/control"
@@ -40,8 +38,8 @@
 	d.commits, err = control.Open(control.Options{
 		Name: d.Config.Name, Addr: d.Config.RPC, Peers: peers, Bootstrap: d.Config.Bootstrap,
 		Disk: disk, Replica: d.Replica, Transport: d.transport, Clock: d.clock, Log: d.logs.Part("control"), Metrics: d.Metrics,
-		Rand:   mathrand.New(mathrand.NewPCG(randomUint64(), randomUint64())),
-		Random: randomUint64,
+		Rand:   mathrand.New(mathrand.NewPCG(control.RandomNumber(), control.RandomNumber())),
+		Random: control.RandomNumber,
 	})
 	return err
 }
@@ -57,13 +55,6 @@
 	d.transport.Close()
 }
 
-// randomUint64 returns a number that nobody can predict.
-func randomUint64() uint64 {
-	var b [8]byte
-	_, _ = rand.Read(b[:]) // never fails
-	return binary.LittleEndian.Uint64(b[:])
-}
-
 // controlService answers calls from other hosts.
 type controlService struct{ d *Daemon }
 
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -5,6 +5,7 @@
 	mathrand "math/rand/v2"
 	"net/netip"
 
+	"greengagequay/internal/control"
 	"greengagequay/internal/gossip"
 )
 
@@ -24,7 +25,7 @@
 	}
 	d.Members = gossip.New(gossip.Options{
 		Conn: d.bound.gossip, Key: key, Self: d.self(), Seeds: d.Config.Seeds,
-		Clock: d.clock, Rand: mathrand.New(mathrand.NewPCG(randomUint64(), randomUint64())),
+		Clock: d.clock, Rand: mathrand.New(mathrand.NewPCG(control.RandomNumber(), control.RandomNumber())),
 		Metrics: d.Metrics, Log: log, Bytes: &d.controlBytes,
 		Revision: d.Replica.Revision, Leading: d.leading, Changed: d.gossiped,
 	})
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -3,46 +3,33 @@
 import (
 	"context"
 	"errors"
-	"hash/fnv"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
 	"sync"
-	"sync/atomic"
 	"time"
 
-	crand "crypto/rand"
-	"encoding/binary"
-
 	"greengagequay/internal/catalog"
-	"greengagequay/internal/clock"
-	"greengagequay/internal/config"
 	"greengagequay/internal/control"
 	"greengagequay/internal/document"
 	"greengagequay/internal/eventlog"
 	"greengagequay/internal/fault"
 	"greengagequay/internal/feed"
-	"greengagequay/internal/logs"
 	"greengagequay/internal/metrics"
 	"greengagequay/internal/raft"
 	"greengagequay/internal/replica"
 	"greengagequay/internal/rpc"
 	"greengagequay/internal/state"
-	"greengagequay/internal/wal"
 )
 
 // Times and limits of a control host.
 const (
 	controlTick = 250 * time.Millisecond
-	logTick     = 50 * time.Millisecond
 	getTimeout  = 800 * time.Millisecond  // operators give up after a second
 	putTimeout  = 2500 * time.Millisecond // an accepted document may still be committed after the operator left
 	// noQuorumTimeout is how long a call waits while this host is out of touch
 	// with a quorum: an election may be about to end that.
 	noQuorumTimeout = 300 * time.Millisecond
-	snapshotEntries = 200
-	keptEntries     = 50
 	shutdownLimit   = 500 * time.Millisecond
 )
 
@@ -134,97 +121,6 @@
 	}()
 }
 
-// openLog takes part in the replicated log.
-func (h *ControlHost) openLog() error {
-	folder, err := wal.OpenFolder(h.cfg.Data)
-	if err != nil {
-		return err
-	}
-	h.hint = newHintFile(h.cfg.Data)
-	own := logAddr(h.cfg.feedAddr())
-	listener, err := net.Listen("tcp", own)
-	if err != nil {
-		return unavailableAddress("internal", err)
-	}
-	traffic := new(atomic.Int64)
-	h.client = rpc.NewClient(traffic, nil)
-	h.client.ReachThrough(h.cfg.Via)
-	h.rpc = rpc.NewServer(listener, traffic)
-	part, err := logs.New(h.log.Output(), config.Log{Level: "info", Format: "json"})
-	if err != nil {
-		return err
-	}
-	options := control.Options{
-		Name: own, Addr: own, Disk: folder, Replica: h.replica, Managed: true, Founders: h.founders(own),
-		Transport: control.NewRPCTransport(h.client), Clock: clock.Real{}, Metrics: h.metrics,
-		Log:  part.Part("log").With("host", h.cfg.Name),
-		Rand: rand.New(rand.NewPCG(randomNumber(), randomNumber())), Random: randomNumber,
-		Tuning: control.Tuning{
-			QuorumReads: true, Tick: logTick, SnapshotEntries: snapshotEntries, KeptEntries: keptEntries,
-		},
-	}
-	if h.host, err = control.Open(options); err != nil {
-		h.host, err = h.reopen(options, err)
-	}
-	if err != nil {
-		return err
-	}
-	if err := h.rpc.Register("Log", &control.Service{Host: h.host}); err != nil {
-		return err
-	}
-	h.run(h.rpc.Serve)
-	return nil
-}
-
-// reopen starts with an empty data folder if the log is damaged. To the others
-// this host then has lost its disk: they remove its former self and take it in
-// as a new member. Without them nothing could be made good, so the damaged files
-// are kept.
-func (h *ControlHost) reopen(o control.Options, damage error) (*control.Host, error) {
-	if fault.KindOf(damage) != fault.Corrupt {
-		return nil, damage
-	}
-	h.log.Event("damage", "set the damaged log aside to join as a new member", eventlog.Fields{"error": damage.Error()})
-	if err := wal.SetAside(o.Disk); err != nil {
-		return nil, err
-	}
-	o.Founders = nil
-	return control.Open(o)
-}
-
-// founders returns the voters of a new log if this host is one of them: at the
-// first start of the whole deployment all hosts have the same seeds, so each
-// founder can start the log on its own.
-func (h *ControlHost) founders(own string) []raft.Member {
-	if !h.cfg.FirstStart {
-		return nil
-	}
-	var list []raft.Member
-	isOne := false
-	for _, seed := range h.cfg.seedFeeds() {
-		addr := logAddr(seed)
-		isOne = isOne || addr == own
-		list = append(list, raft.Member{ID: founderID(addr), Name: addr, Addr: addr, Voter: true})
-	}
-	if !isOne {
-		return nil
-	}
-	return list
-}
-
-// founderID returns the identity of a founder's data folder.
-func founderID(addr string) raft.ID {
-	sum := fnv.New64a()
-	_, _ = sum.Write([]byte("founder " + addr)) // a hash takes everything
-	return raft.ID(sum.Sum64() | 1)
-}
-
-func randomNumber() uint64 {
-	var b [8]byte
-	_, _ = crand.Read(b[:]) // never fails
-	return binary.BigEndian.Uint64(b[:])
-}
-
 // now returns the time since the host started.
 func (h *ControlHost) now() time.Duration { return time.Since(h.started) }
 
@@ -354,4 +250,5 @@
 	if h.client != nil {
 		h.client.Close()
 	}
+	h.done.Wait()
 }
