--- a/internal/steering/choose.go
+++ b/internal/steering/choose.go
@@ -40,7 +40,7 @@
 
 func (s *Steerer) rankOf(now time.Duration, server *Server, tried []string) rank {
 	switch {
-	case server.Status == catalog.Draining && s.drainUsable(now, server):
+	case server.Status == catalog.Draining && s.drains.began(now, server, s.cfg.DrainUse):
 		return rankDraining
 	case server.Status >= catalog.Draining:
 		return rankNever
@@ -50,7 +50,7 @@
 		return rankTried
 	case s.suspects.holds(now, server):
 		return rankSuspect
-	case server.Zone != s.zone:
+	case server.Zone != s.cfg.Zone:
 		return rankOtherZone
 	}
 	return rankOwnZone
--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -84,12 +84,11 @@
 
 // Steerer decides for one entry host. It is not safe for concurrent use.
 type Steerer struct {
-	drainUse time.Duration
-	draining map[string]drain // backend servers that this host saw begin to drain, by id
-	zone     string
+	cfg      Config
 	table    *Table
 	opened   map[Flow]opening
 	used     map[string]time.Duration // when a flow was last placed on a backend server, by id
+	drains   drains
 	suspects suspects
 }
 
@@ -107,12 +106,6 @@
 // the last copy of the opening packet before that.
 const openingMemory = 2 * time.Second
 
-// drain is a backend server that drains, and since when this host knows.
-type drain struct {
-	born  int64
-	since time.Duration
-}
-
 // Config holds the parameters of a steerer.
 type Config struct {
 	Zone string // availability zone of the host
@@ -123,7 +116,10 @@
 
 // New returns a steerer.
 func New(cfg Config) *Steerer {
-	return &Steerer{zone: cfg.Zone, drainUse: cfg.DrainUse, draining: map[string]drain{}, table: Build(nil, nil), opened: map[Flow]opening{}, used: map[string]time.Duration{}, suspects: newSuspects()}
+	return &Steerer{
+		cfg: cfg, table: Build(nil, nil), opened: map[Flow]opening{}, used: map[string]time.Duration{},
+		drains: drains{}, suspects: newSuspects(),
+	}
 }
 
 // Use puts a table in force. One with an older document is refused: a host
@@ -132,32 +128,11 @@
 	if t.Version < s.table.Version {
 		return false
 	}
-	s.noteDrains(now, t)
+	s.drains.note(now, s.table, t)
 	s.table = t
 	return true
 }
 
-// noteDrains notes which backend servers begin to drain. For how long one has
-// been draining that was draining before this host knew it, nobody can tell.
-func (s *Steerer) noteDrains(now time.Duration, t *Table) {
-	for token, server := range t.tokens {
-		was := s.table.tokens[token]
-		if server.Status != catalog.Draining {
-			delete(s.draining, server.ID)
-			continue
-		}
-		if was != nil && was.Born == server.Born && was.Status < catalog.Draining {
-			s.draining[server.ID] = drain{born: server.Born, since: now}
-		}
-	}
-}
-
-// drainUsable reports whether a draining backend server may still get flows.
-func (s *Steerer) drainUsable(now time.Duration, server *Server) bool {
-	d, known := s.draining[server.ID]
-	return known && d.born == server.Born && now-d.since < s.drainUse
-}
-
 // Table returns the table in force.
 func (s *Steerer) Table() *Table { return s.table }
 
@@ -243,11 +218,7 @@
 		}
 	}
 	s.suspects.forget(now)
-	for id, d := range s.draining {
-		if now-d.since > s.drainUse {
-			delete(s.draining, id)
-		}
-	}
+	s.drains.forget(now, s.cfg.DrainUse)
 	for id := range s.used {
 		if s.table.tokens[TokenOf(id)] == nil {
 			delete(s.used, id)
