Forget gone backend servers on entry hosts, and log failed hints

An entry host kept each backend server that ever left. Control hosts copied all records four times a second to save a hint that was rarely due.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -165,7 +165,7 @@
 	e.Status, e.heardAt, e.revision, e.from = Gone, now, c.next(), ""
 }
 
-// replace takes a later record. It reports whether others have to know.
+// replace takes a record in place of an older one. It reports whether others have to know.
 func (c *Catalog) replace(now time.Duration, old *entry, fresh Record, from string) bool {
 	revived := old.Status == Gone && fresh.Status != Gone
 	if revived || fresh.Address != old.Address || fresh.Born != old.Born {
@@ -237,18 +237,26 @@
 	if pause > lateTick {
 		c.forgive(pause)
 	}
+	c.Forget(now)
 	before := c.revision
-	for id, e := range c.entries {
-		switch quiet := c.quiet(now, e); {
-		case quiet > goneAfter && e.Status >= Silent:
-			delete(c.entries, id)
-		case e.Status == Ready && quiet > c.silentAfter():
+	for _, e := range c.entries {
+		if e.Status == Ready && c.quiet(now, e) > c.silentAfter() {
 			e.Status, e.revision, e.from = Silent, c.next(), ""
 		}
 	}
 	return c.revision != before
 }
 
+// Forget drops backend servers of which nothing was heard for longer than any
+// flow lasts. Hosts that hear no heartbeats call it in place of Tick.
+func (c *Catalog) Forget(now time.Duration) {
+	for id, e := range c.entries {
+		if e.Status >= Silent && now-e.heardAt > goneAfter {
+			delete(c.entries, id)
+		}
+	}
+}
+
 // forgive moves all times on: this host was not there to hear.
 func (c *Catalog) forgive(pause time.Duration) {
 	for _, e := range c.entries {
@@ -266,7 +274,7 @@
 // quiet returns for how long nobody has heard a backend server, as far as this
 // host can tell. While its owner is in touch, the owner tells.
 func (c *Catalog) quiet(now time.Duration, e *entry) time.Duration {
-	if e.Owner == c.cfg.Self || e.Status >= Silent {
+	if e.Owner == c.cfg.Self {
 		return now - e.heardAt
 	}
 	if c.inTouch[e.Owner] {
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -164,6 +164,20 @@
 	qt.Assert(t, statuses(k), qt.Equals, "")
 }
 
+// An entry host hears no heartbeats, so none of its records falls silent.
+func TestForgetKeepsWhatIsReady(t *testing.T) {
+	c := qt.New(t)
+	k := newCatalog("")
+	k.Merge(0, "c1", []Record{
+		{Heartbeat: heartbeat("x", 1, 1), Owner: "c1"},
+		{Heartbeat: Heartbeat{ID: "y", Address: netip.MustParseAddrPort("10.0.0.2:80")}, Status: Silent, Owner: "c1"},
+	})
+	k.Forget(goneAfter)
+	c.Assert(statuses(k), qt.Equals, "x=ready y=silent")
+	k.Forget(goneAfter + 1)
+	c.Assert(statuses(k), qt.Equals, "x=ready")
+}
+
 // Whatever order announcements travel in, all catalogs end alike and at the
 // state of the last start and announcement of each backend server.
 func TestCatalogsAgree(t *testing.T) {
--- a/internal/fleet/controlfeed.go
+++ b/internal/fleet/controlfeed.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"greengagequay/internal/catalog"
 	"greengagequay/internal/document"
 	"greengagequay/internal/eventlog"
 	"greengagequay/internal/feed"
@@ -165,10 +166,16 @@
 	changed := h.catalog.Tick(h.now()) || current != h.current
 	turned := current != h.current
 	h.current = current
+	var records []catalog.Record
 	revision := h.catalog.Revision()
-	records := h.catalog.Since(0, "")
+	hintDue := h.hint.due(revision)
+	if hintDue {
+		records = h.catalog.Since(0, "")
+	}
 	h.mu.Unlock()
-	h.hint.save(revision, records)
+	if hintDue {
+		h.hint.save(revision, records)
+	}
 	if turned {
 		h.log.Event("quorum", "contact with a quorum of control hosts changed", eventlog.Fields{"current": current})
 	}
--- a/internal/fleet/controllog.go
+++ b/internal/fleet/controllog.go
@@ -32,7 +32,9 @@
 	if err != nil {
 		return err
 	}
-	h.hint = newHintFile(h.cfg.Data)
+	h.hint = newHintFile(h.cfg.Data, func(err error) {
+		h.log.Event("hint", "could not save the known backend servers", eventlog.Fields{"error": err.Error()})
+	})
 	own := logAddr(h.cfg.feedAddr())
 	if err := h.listenForCalls(own); err != nil {
 		return err
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -105,6 +105,7 @@
 	for {
 		h.mu.Lock()
 		h.steerer.Forget(h.now())
+		h.catalog.Forget(h.now())
 		warm := h.steerer.Table().Ready()
 		h.mu.Unlock()
 		h.sender.forget()
--- a/internal/fleet/hint.go
+++ b/internal/fleet/hint.go
@@ -25,24 +25,26 @@
 	revision uint64
 	savedAt  time.Time
 	busy     atomic.Bool
-	failure  atomic.Pointer[error]
+	failed   func(error) // told of each write that failed
 }
 
-func newHintFile(folder string) *hintFile {
-	return &hintFile{path: filepath.Join(folder, "backends.hint")}
+func newHintFile(folder string, failed func(error)) *hintFile {
+	return &hintFile{path: filepath.Join(folder, "backends.hint"), failed: failed}
+}
+
+// due reports whether there are changes that should be saved.
+func (f *hintFile) due(revision uint64) bool {
+	return revision != f.revision && time.Since(f.savedAt) >= hintPause && !f.busy.Load()
 }
 
 // save writes the records from a goroutine of its own, since the disk may hang.
 func (f *hintFile) save(revision uint64, records []catalog.Record) {
-	if revision == f.revision || time.Since(f.savedAt) < hintPause || f.busy.Load() {
-		return
-	}
 	f.revision, f.savedAt = revision, time.Now()
 	f.busy.Store(true)
 	go func() {
 		defer f.busy.Store(false)
 		if err := f.write(records); err != nil {
-			f.failure.Store(&err)
+			f.failed(err)
 		}
 	}()
 }
