--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -88,7 +88,7 @@
 	h.presence = feed.Presence{
 		Name: h.cfg.Name, Zone: h.cfg.Zone, Addr: h.cfg.feedAddr(), Control: true, ID: h.host.Identity().ID,
 	}
-	h.links = newLinks(h.ctx, h.presence, h.cfg.Via, h, h.log)
+	h.links = newLinks(h.ctx, h.presence, h.cfg.Via, h)
 	h.links.seeds(h.cfg.seedFeeds())
 	h.recall()
 	listener, err := net.Listen("tcp", h.cfg.feedAddr())
--- a/internal/fleet/controllog.go
+++ b/internal/fleet/controllog.go
@@ -70,7 +70,7 @@
 }
 
 // logOptions returns how this host takes part in the log. Members are named by
-// the address of their part, since a machine may take over the name of another.
+// the address of their part, since a new host may take over the name of another.
 func (h *ControlHost) logOptions(own string, disk wal.Disk) (control.Options, error) {
 	root, err := logs.New(h.log.Output(), config.Log{Level: "info", Format: "json"})
 	if err != nil {
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -55,7 +55,7 @@
 		steerer: steering.New(steering.Config{Zone: cfg.Zone, DrainUse: cfg.drainUse()}), catalog: catalog.New(catalog.Config{Interval: cfg.Heartbeat()}),
 	}
 	h.counts = newPacketCounts(h.metrics)
-	h.links = newLinks(ctx, feed.Presence{Name: cfg.Name, Zone: cfg.Zone, Addr: cfg.feedAddr()}, cfg.Via, h, log)
+	h.links = newLinks(ctx, feed.Presence{Name: cfg.Name, Zone: cfg.Zone, Addr: cfg.feedAddr()}, cfg.Via, h)
 	h.links.seeds(cfg.seedFeeds())
 	if err := h.start(a); err != nil {
 		h.stopNow()
--- a/internal/fleet/links.go
+++ b/internal/fleet/links.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"greengagequay/internal/eventlog"
 	"greengagequay/internal/feed"
 )
 
@@ -29,7 +28,6 @@
 	self feed.Presence
 	via  map[string]string
 	sink feed.Sink
-	log  *eventlog.Log
 
 	mu    sync.Mutex
 	known map[string]*knownHost // by feed address
@@ -50,8 +48,8 @@
 	heardAt  time.Time // when it, or another host in touch with it, was heard
 }
 
-func newLinks(ctx context.Context, self feed.Presence, via map[string]string, sink feed.Sink, log *eventlog.Log) *links {
-	return &links{ctx: ctx, self: self, via: via, sink: sink, log: log, known: map[string]*knownHost{}}
+func newLinks(ctx context.Context, self feed.Presence, via map[string]string, sink feed.Sink) *links {
+	return &links{ctx: ctx, self: self, via: via, sink: sink, known: map[string]*knownHost{}}
 }
 
 // warm tells whether this host knows enough to work.
