Reach control hosts far away from a cold start; cap voters; refuse when all have left

Short attempts of a cold entry host (60 ms) never reached a control host with a longer way to it: they double after each three failures now. A deployment that tolerates more losses than seven voters can bear still starts. When every backend server had left, opening packets were dropped as if nothing was known; they are refused at once now.

--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -13,6 +13,7 @@
 
 	"greengagequay/internal/fault"
 	"greengagequay/internal/jsonc"
+	"greengagequay/internal/raft"
 )
 
 // Role is what a host does.
@@ -110,17 +111,15 @@
 	if c.HeartbeatMs <= 0 {
 		return fault.New(fault.Invalid, settingsRemedy, "field \"heartbeatMs\" is %d, not above 0", c.HeartbeatMs)
 	}
-	if c.TolerateLoss < 0 || c.TolerateLoss > maxTolerated {
-		return fault.New(fault.Invalid, settingsRemedy, "field \"tolerateLoss\" is %d, not 0 to %d", c.TolerateLoss, maxTolerated)
+	if c.TolerateLoss < 0 {
+		return fault.New(fault.Invalid, settingsRemedy, "field \"tolerateLoss\" is %d, below 0", c.TolerateLoss)
 	}
 	return nil
 }
 
-// maxTolerated is the most control hosts that a group of seven voters can lose.
-const maxTolerated = 3
-
-// voters returns the wanted number of voters.
-func (c Config) voters() int { return 2*c.TolerateLoss + 1 }
+// voters returns the wanted number of voters. More than the log can have are of
+// no use: each accepted document would wait for more disks.
+func (c Config) voters() int { return min(2*c.TolerateLoss+1, raft.MaxVoters) }
 
 // The ports between hosts, counted from the first of the range.
 const (
--- a/internal/fleet/links.go
+++ b/internal/fleet/links.go
@@ -18,7 +18,10 @@
 	// host has power again.
 	coldDialTimeout = 60 * time.Millisecond
 	coldRedialPause = 20 * time.Millisecond
-	forgetAfter     = 30 * time.Second // a control host that is no seed and does not answer
+	// coldTries is after how many failed attempts the timeout doubles: the host
+	// may be far away.
+	coldTries   = 3
+	forgetAfter = 30 * time.Second // a control host that is no seed and does not answer
 )
 
 // links holds the connections to the control hosts that this host follows, and
@@ -44,6 +47,7 @@
 	link     *feed.Link
 	dialing  bool
 	pause    time.Duration // before the next try
+	failures int           // attempts to connect that failed in a row
 	retryAt  time.Time
 	heardAt  time.Time // when it, or another host in touch with it, was heard
 }
@@ -59,13 +63,17 @@
 	l.cold = !yes
 }
 
-// limits returns the timeout of an attempt and the pause after it, if it fails
-// after a pause of last.
-func (l *links) limits(last time.Duration) (timeout, pause time.Duration) {
-	if l.cold {
-		return coldDialTimeout, coldRedialPause
+// limits returns the timeout of the next attempt to reach a host, and the pause
+// after it if it fails.
+func (l *links) limits(h *knownHost) (timeout, pause time.Duration) {
+	if !l.cold {
+		return dialTimeout, min(max(2*h.pause, redialPause), maxRedialPause)
 	}
-	return dialTimeout, min(max(2*last, redialPause), maxRedialPause)
+	timeout = coldDialTimeout
+	for n := h.failures; n >= coldTries && timeout < dialTimeout; n -= coldTries {
+		timeout *= 2
+	}
+	return min(timeout, dialTimeout), coldRedialPause
 }
 
 // seeds replaces the seeds.
@@ -141,7 +149,7 @@
 			h.link.Close()
 		case want[h.addr] && h.link == nil && !h.dialing && !now.Before(h.retryAt):
 			h.dialing = true
-			timeout, pause := l.limits(h.pause)
+			timeout, pause := l.limits(h)
 			go l.connect(h, timeout, pause)
 		}
 	}
@@ -167,11 +175,12 @@
 	h.dialing = false
 	if err != nil {
 		h.pause = pause
+		h.failures++
 		h.retryAt = time.Now().Add(h.pause)
 		l.mu.Unlock()
 		return
 	}
-	h.link, h.pause = link, 0
+	h.link, h.pause, h.failures = link, 0, 0
 	l.mu.Unlock()
 	<-link.Done()
 	l.mu.Lock()
--- a/internal/steering/steering_test.go
+++ b/internal/steering/steering_test.go
@@ -73,6 +73,7 @@
 		{"silent ones rather than none", []catalog.Record{backend("x2", "orders", "a", catalog.Silent)}, orders, "forward placed x2"},
 		{"draining ones never", []catalog.Record{backend("x1", "orders", "a", catalog.Draining), backend("x2", "photos", "a", catalog.Ready)}, orders, "refuse no_server"},
 		{"other services never", []catalog.Record{backend("x2", "photos", "a", catalog.Ready)}, orders, "refuse no_server"},
+		{"all have left", []catalog.Record{backend("x1", "orders", "a", catalog.Gone)}, orders, "refuse no_server"},
 		{"unknown route", []catalog.Record{backend("x1", "orders", "a", catalog.Ready)}, netip.MustParseAddrPort("198.18.0.9:1"), "refuse no_route"},
 		{"nothing known yet", nil, orders, "drop no_state"},
 	}
--- a/internal/steering/table.go
+++ b/internal/steering/table.go
@@ -97,7 +97,6 @@
 	return time.Duration(r.Aim) * time.Millisecond
 }
 
-// Ready reports whether the table suffices to place flows: it has a document
-// and a backend server for each service that a route needs, as far as any is
-// known.
-func (t *Table) Ready() bool { return t.Version != 0 && len(t.services) > 0 }
+// Ready reports whether the table suffices to decide about new flows: it has a
+// document, and has heard of backend servers, even if none is left.
+func (t *Table) Ready() bool { return t.Version != 0 && len(t.tokens) > 0 }
