Use WaitGroup.Go, and take CaughtUp from the log's status

An entry host looks up the aim of a route only for links that are paced, and keeps its routes when only backend servers changed.

--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -43,8 +43,8 @@
 // Tuning replaces defaults for deployments with other needs. Zero values keep
 // the defaults.
 type Tuning struct {
-	QuorumReads     bool // see raft.Config
-	Tick            time.Duration
+	QuorumReads     bool          // see raft.Config
+	Tick            time.Duration // between two looks at the clock of the log
 	SnapshotEntries int
 	KeptEntries     uint64
 }
@@ -95,8 +95,7 @@
 
 // Open opens the data folder and takes part in the log until Close.
 func Open(o Options) (*Host, error) {
-	newID := func() raft.ID { return o.newID() }
-	log, stored, err := wal.Open(o.Disk, newID)
+	log, stored, err := wal.Open(o.Disk, o.newID)
 	if err != nil {
 		return nil, err
 	}
@@ -123,8 +122,8 @@
 	e.send = func(addr string, m []raft.Message) { o.Transport.Send(addr, Envelope{Addr: o.Addr, Messages: m}) }
 	e.process(0)
 	h.publish(0)
-	h.run(func() { h.loop(ctx) })
-	h.run(func() { h.bootstrap(ctx) })
+	h.done.Go(func() { h.loop(ctx) })
+	h.done.Go(func() { h.bootstrap(ctx) })
 	return h, nil
 }
 
@@ -153,14 +152,6 @@
 	return h.engine.found(0, h.Founders)
 }
 
-func (h *Host) run(fn func()) {
-	h.done.Add(1)
-	go func() {
-		defer h.done.Done()
-		fn()
-	}()
-}
-
 // now returns the time since the host started.
 func (h *Host) now() time.Duration { return h.Clock.Now().Sub(h.started) }
 
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -177,16 +177,14 @@
 	Self       raft.ID
 	Leads      bool
 	Membership raft.Membership
-	CaughtUp   map[raft.ID]bool // on the leader: members that hold all that is committed
+	CaughtUp   map[raft.ID]bool // on the leader: members that could vote without a pause in commits
 }
 
 // View returns what this host knows of the log.
 func (h *Host) View() View {
 	p := h.status.Load()
-	v := View{Self: p.status.ID, Membership: p.members, CaughtUp: map[raft.ID]bool{}}
-	v.Leads = p.status.Role == raft.Leader && p.blocked == nil
-	for id, match := range p.status.Match {
-		v.CaughtUp[id] = match >= p.status.Commit
+	return View{
+		Self: p.status.ID, Membership: p.members, CaughtUp: p.status.CaughtUp,
+		Leads: p.status.Role == raft.Leader && p.blocked == nil,
 	}
-	return v
 }
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -20,7 +20,7 @@
 	if err := d.server.Register("Control", &controlService{d: d}); err != nil {
 		return err
 	}
-	d.run(func() { d.place(ctx) })
+	d.background.Go(func() { d.place(ctx) })
 	return nil
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -109,7 +109,7 @@
 		return err
 	}
 	d.client.Connect(d.Config.RPC, d.server)
-	d.run(d.server.Serve)
+	d.background.Go(d.server.Serve)
 	if !d.Config.Has(config.Control) {
 		d.startFollow(ctx)
 	}
@@ -117,7 +117,7 @@
 		if err := d.startFlows(ctx); err != nil {
 			return err
 		}
-		d.run(func() { d.reportFlows(ctx) })
+		d.background.Go(func() { d.reportFlows(ctx) })
 		if err := d.startRequests(ctx); err != nil {
 			return err
 		}
@@ -126,14 +126,6 @@
 	return d.startAPI()
 }
 
-func (d *Daemon) run(fn func()) {
-	d.background.Add(1)
-	go func() {
-		defer d.background.Done()
-		fn()
-	}()
-}
-
 // headerTimeout bounds the reading of a request's header.
 const headerTimeout = 10 * time.Second
 
@@ -150,7 +142,7 @@
 	mux.Handle("/metrics", d.Metrics)
 	mux.Handle("/", server)
 	d.api = &http.Server{Handler: d.tokens.Guard(mux, request.WriteError), ReadHeaderTimeout: headerTimeout}
-	d.run(func() { d.serveHTTP(d.api, d.bound.api) })
+	d.background.Go(func() { d.serveHTTP(d.api, d.bound.api) })
 	return nil
 }
 
--- a/internal/daemon/flows.go
+++ b/internal/daemon/flows.go
@@ -55,10 +55,10 @@
 		return err
 	}
 	for range forwarders {
-		d.run(f.forwarder.Serve)
-		d.run(f.forwarder.ServeRelay)
+		d.background.Go(f.forwarder.Serve)
+		d.background.Go(f.forwarder.ServeRelay)
 	}
-	d.run(func() { f.keep(ctx) })
+	d.background.Go(func() { f.keep(ctx) })
 	return nil
 }
 
@@ -104,7 +104,7 @@
 	if !ok {
 		return
 	}
-	f.d.run(func() {
+	f.d.background.Go(func() {
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
 		if f.d.client.Call(ctx, host.RPC, "Flows.Install", c.Batch, &struct{}{}) != nil {
--- a/internal/daemon/follow.go
+++ b/internal/daemon/follow.go
@@ -65,8 +65,8 @@
 func (d *Daemon) startFollow(ctx context.Context) {
 	f := &follower{d: d, log: d.logs.Part("follow"), core: follow.New()}
 	f.catchUp(ctx)
-	d.run(func() { f.run(ctx) })
-	d.run(func() { f.hedge(ctx) })
+	d.background.Go(func() { f.run(ctx) })
+	d.background.Go(func() { f.hedge(ctx) })
 }
 
 // catchUp asks more than one source before the host takes traffic, so that a
@@ -77,11 +77,7 @@
 	defer cancel()
 	var wg sync.WaitGroup
 	for _, s := range f.refresh() {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			f.pull(ctx, s, 0)
-		}()
+		wg.Go(func() { f.pull(ctx, s, 0) })
 	}
 	wg.Wait()
 }
--- a/internal/daemon/health.go
+++ b/internal/daemon/health.go
@@ -76,7 +76,7 @@
 		out := h.core.Tick(h.d.clock.Now(), backends, hosts)
 		h.mu.Unlock()
 		for _, b := range out.Probe {
-			h.d.run(func() { h.probe(ctx, b) })
+			h.d.background.Go(func() { h.probe(ctx, b) })
 		}
 		h.d.Members.Publish(out.Items...)
 		for _, e := range out.Events {
@@ -129,7 +129,7 @@
 	items, err := h.core.Take(h.d.clock.Now(), i)
 	h.mu.Unlock()
 	if len(items) > 0 { // not from within the gossip's callback
-		h.d.run(func() { h.d.Members.Publish(slices.Clone(items)...) })
+		h.d.background.Go(func() { h.d.Members.Publish(slices.Clone(items)...) })
 	}
 	return err
 }
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -33,10 +33,10 @@
 }
 
 func (d *Daemon) startMembers(ctx context.Context) {
-	d.run(d.Members.Receive)
-	d.run(func() { d.Members.Tick(ctx) })
-	d.run(func() { d.keepRegistry(ctx) })
-	d.run(func() { d.health.run(ctx) })
+	d.background.Go(d.Members.Receive)
+	d.background.Go(func() { d.Members.Tick(ctx) })
+	d.background.Go(func() { d.keepRegistry(ctx) })
+	d.background.Go(func() { d.health.run(ctx) })
 }
 
 // leading reports whether this host leads the control hosts and a quorum of
--- a/internal/daemon/requests.go
+++ b/internal/daemon/requests.go
@@ -20,10 +20,10 @@
 	if err := d.server.Register("Homes", d.homes.Service()); err != nil {
 		return err
 	}
-	d.run(d.homes.Run)
+	d.background.Go(d.homes.Run)
 	handler := entry.NewRequests(d.Replica, d.homes, d.health, d.Metrics, d.clock)
 	d.requests = &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
-	d.run(func() { d.serveHTTP(d.requests, d.bound.requests) })
+	d.background.Go(func() { d.serveHTTP(d.requests, d.bound.requests) })
 	return nil
 }
 
--- a/internal/daemon/streams.go
+++ b/internal/daemon/streams.go
@@ -11,7 +11,7 @@
 		s := entry.NewStream(l, service, d.Replica, d.Metrics, d.logs.Part("stream"))
 		s.Health = d.health
 		d.streams = append(d.streams, s)
-		d.run(s.Serve)
+		d.background.Go(s.Serve)
 	}
 }
 
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -50,11 +50,7 @@
 		if err != nil {
 			return
 		}
-		s.wg.Add(1)
-		go func() {
-			defer s.wg.Done()
-			s.relay(conn.(*net.TCPConn))
-		}()
+		s.wg.Go(func() { s.relay(conn.(*net.TCPConn)) })
 	}
 }
 
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -44,8 +44,7 @@
 func Serve(l net.Listener, s Source) *Server {
 	ctx, cancel := context.WithCancel(context.Background())
 	srv := &Server{source: s, listener: l, ctx: ctx, cancel: cancel}
-	srv.done.Add(1)
-	go srv.accept()
+	srv.done.Go(srv.accept)
 	return srv
 }
 
@@ -57,17 +56,12 @@
 }
 
 func (s *Server) accept() {
-	defer s.done.Done()
 	for {
 		conn, err := s.listener.Accept()
 		if err != nil {
 			return
 		}
-		s.done.Add(1)
-		go func() {
-			defer s.done.Done()
-			s.serve(conn)
-		}()
+		s.done.Go(func() { s.serve(conn) })
 	}
 }
 
@@ -87,12 +81,10 @@
 	}
 	s.source.Followed(hello.From, true)
 	defer s.source.Followed(hello.From, false)
-	s.done.Add(1)
-	go func() {
-		defer s.done.Done()
+	s.done.Go(func() {
 		defer cancel()
 		s.hear(conn, in, hello.From)
-	}()
+	})
 	s.tell(ctx, conn, hello.From)
 }
 
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -102,9 +102,9 @@
 	}
 	h.server = &http.Server{Handler: a.Control(h, netip.MustParseAddrPort(h.cfg.API)), ReadHeaderTimeout: time.Second}
 	h.metrics.GaugeFunc("control.votes", h.votes)
-	h.run(func() { _ = h.server.Serve(api) })
-	h.run(h.watchReplica)
-	h.run(h.loop)
+	h.done.Go(func() { _ = h.server.Serve(api) })
+	h.done.Go(h.watchReplica)
+	h.done.Go(h.loop)
 	serveMetrics(h.ctx, h.cfg.Metrics, h.metrics, h.log)
 	return nil
 }
@@ -113,14 +113,6 @@
 	return fault.New(fault.Unavailable, "free the address or correct the field", "field %q: %w", field, err)
 }
 
-func (h *ControlHost) run(fn func()) {
-	h.done.Add(1)
-	go func() {
-		defer h.done.Done()
-		fn()
-	}()
-}
-
 // now returns the time since the host started.
 func (h *ControlHost) now() time.Duration { return time.Since(h.started) }
 
--- a/internal/fleet/controllog.go
+++ b/internal/fleet/controllog.go
@@ -52,7 +52,7 @@
 	if err := h.rpc.Register("Log", &control.Service{Host: h.host}); err != nil {
 		return err
 	}
-	h.run(h.rpc.Serve)
+	h.done.Go(h.rpc.Serve)
 	return nil
 }
 
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"greengagequay/internal/catalog"
-	"greengagequay/internal/document"
 	"greengagequay/internal/eventlog"
 	"greengagequay/internal/feed"
 	"greengagequay/internal/metrics"
@@ -39,12 +38,11 @@
 	done    sync.WaitGroup
 	counts  packetCounts
 
-	mu       sync.Mutex // guards the following
-	steerer  *steering.Steerer
-	catalog  *catalog.Catalog
-	document *document.Document
-	heardAt  time.Duration // when a followed control host last said anything
-	leaving  bool
+	mu      sync.Mutex // guards the following
+	steerer *steering.Steerer
+	catalog *catalog.Catalog
+	heardAt time.Duration // when a followed control host last said anything
+	leaving bool
 }
 
 // StartEntry starts an entry host.
@@ -76,21 +74,13 @@
 		return unavailableAddress("ready", err)
 	}
 	h.server = &http.Server{Handler: a.Readiness(h.ready), ReadHeaderTimeout: time.Second}
-	h.run(func() { _ = h.server.Serve(ready) })
-	h.run(h.servePackets)
-	h.run(h.loop)
+	h.done.Go(func() { _ = h.server.Serve(ready) })
+	h.done.Go(h.servePackets)
+	h.done.Go(h.loop)
 	serveMetrics(h.ctx, h.cfg.Metrics, h.metrics, h.log)
 	return nil
 }
 
-func (h *EntryHost) run(fn func()) {
-	h.done.Add(1)
-	go func() {
-		defer h.done.Done()
-		fn()
-	}()
-}
-
 func (h *EntryHost) now() time.Duration { return time.Since(h.started) }
 
 // ready reports whether the host should get packets.
@@ -155,15 +145,18 @@
 		h.steerer.Suspect(h.now(), x.ID, x.Born)
 	}
 	changed := h.catalog.Merge(h.now(), addr, u.Records)
-	if u.Document != nil && (h.document == nil || u.Document.Version > h.document.Version) {
-		h.document = u.Document
-		changed = true
+	table := h.steerer.Table()
+	switch {
+	case u.Document != nil && u.Document.Version > table.Version:
+		table = steering.Build(u.Document, h.catalog.Since(0, ""))
 		h.log.Event("version", "a document is in force", eventlog.Fields{"version": u.Document.Version, "from": addr})
+	case changed:
+		table = table.WithServers(h.catalog.Since(0, ""))
+	default:
+		return
 	}
-	if changed {
-		h.steerer.Use(h.now(), steering.Build(h.document, h.catalog.Since(0, "")))
-		h.logBelief(addr, u.Records)
-	}
+	h.steerer.Use(h.now(), table)
+	h.logBelief(addr, u.Records)
 }
 
 func (h *EntryHost) logBelief(from string, records []catalog.Record) {
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -22,7 +22,7 @@
 	if !due || !h.claimChange() {
 		return
 	}
-	h.run(func() { h.takeStep(step) })
+	h.done.Go(func() { h.takeStep(step) })
 }
 
 func (h *ControlHost) claimChange() bool {
--- a/internal/fleet/packets.go
+++ b/internal/fleet/packets.go
@@ -73,7 +73,7 @@
 	h.logDecision(datagram, packet, d, inputs{version: table.Version, age: age})
 	switch d.Verdict {
 	case steering.Forward:
-		h.forward(buf, packet, d, table.Aim(packet.Route))
+		h.forward(buf, packet, d, table)
 	case steering.Refuse:
 		h.refuse(datagram, packet)
 	}
@@ -91,7 +91,7 @@
 // largeData is the data, in bytes, from which on a packet is one of many.
 const largeData = 1000
 
-func (h *EntryHost) forward(buf []byte, p steering.Packet, d steering.Decision, aim time.Duration) {
+func (h *EntryHost) forward(buf []byte, p steering.Packet, d steering.Decision, table *steering.Table) {
 	if p.Opening {
 		h.format.SetToken(buf[TargetBytes:], d.Server.Token)
 	}
@@ -102,7 +102,7 @@
 	}
 	h.sender.offer(&pacing.Packet{
 		Flow: p.Flow(), Sequence: p.Sequence, Data: p.Data, Small: p.Data < largeData,
-		Deadline: h.now() + aim, Datagram: buf, To: d.Server.Address,
+		Deadline: h.now() + table.Aim(p.Route), Datagram: buf, To: d.Server.Address,
 	})
 }
 
--- a/internal/homes/homes.go
+++ b/internal/homes/homes.go
@@ -162,11 +162,7 @@
 	if h.stopped.Err() != nil {
 		return
 	}
-	h.work.Add(1)
-	go func() {
-		defer h.work.Done()
-		fn(h.stopped)
-	}()
+	h.work.Go(func() { fn(h.stopped) })
 }
 
 // call calls a method of a host, which may be this one.
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -190,12 +190,10 @@
 	var callers sync.WaitGroup
 	for _, a := range list {
 		time.Sleep(time.Until(start.Add(a.at)))
-		callers.Add(1)
-		go func() {
-			defer callers.Done()
+		callers.Go(func() {
 			outcome, right := r.send(ctx, a)
 			r.note(a, outcome, right, time.Since(start)-a.at)
-		}()
+		})
 	}
 	callers.Wait()
 	r.report.Offered = len(list)
--- a/internal/raft/ready.go
+++ b/internal/raft/ready.go
@@ -82,6 +82,7 @@
 	ContactAge time.Duration // since a quorum was last in contact, directly or through the leader
 	LeaseLeft  time.Duration // for which no other member can lead, 0 unless this one does
 	Match      map[ID]uint64 // on the leader, the last entry on each member's disk
+	CaughtUp   map[ID]bool   // on the leader, see Node.CaughtUp
 }
 
 // Status returns the state at the given time.
@@ -94,9 +95,10 @@
 		ContactAge: age, Current: n.leader != 0 && age < n.cfg.ElectionTimeout, LeaseLeft: n.leaseLeft(),
 	}
 	if n.role == Leader {
-		s.Match = map[ID]uint64{}
+		s.Match, s.CaughtUp = map[ID]uint64{}, map[ID]bool{}
 		for id, p := range n.progress {
 			s.Match[id] = p.match
+			s.CaughtUp[id] = n.CaughtUp(id)
 		}
 	}
 	return s
--- a/internal/soak/backends.go
+++ b/internal/soak/backends.go
@@ -79,8 +79,8 @@
 	f.alive = append(f.alive, b)
 	f.mu.Unlock()
 	context.AfterFunc(s.ctx, func() { _ = conn.Close() })
-	s.run(b.serve)
-	s.run(b.announce)
+	s.done.Go(b.serve)
+	s.done.Go(b.announce)
 	return nil
 }
 
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -38,8 +38,8 @@
 		return nil, fmt.Errorf("start a caller: %w", err)
 	}
 	c := &caller{soak: s, addr: addr, conn: conn, port: 1024, boxes: map[uint16]chan standin.Packet{}}
-	s.run(c.receive)
-	s.run(func() {
+	s.done.Go(c.receive)
+	s.done.Go(func() {
 		<-s.ctx.Done()
 		_ = conn.Close()
 	})
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -55,7 +55,7 @@
 		}
 		s.checks.fault()
 		fmt.Fprintf(s.Out, "%7.3f %s %s for %v\n", time.Since(started).Seconds(), k.name, what, length.Round(time.Millisecond))
-		s.run(func() {
+		s.done.Go(func() {
 			s.pause(length)
 			end()
 			s.checks.disturb()
@@ -97,7 +97,7 @@
 func terminateProcess(s *soak, rng *rand.Rand) (string, func()) {
 	p := s.anyProcess(rng)
 	p.resume()
-	s.run(func() { p.finish(syscall.SIGTERM) })
+	s.done.Go(func() { p.finish(syscall.SIGTERM) })
 	return p.name, func() {
 		p.finish(syscall.SIGTERM)
 		p.restart()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -113,34 +113,26 @@
 		}
 	}
 	for _, e := range s.entries {
-		s.run(e.watch)
+		s.done.Go(e.watch)
 	}
 	if s.fleet, err = s.newBackends(); err != nil {
 		return err
 	}
-	s.run(s.operate)
-	s.run(s.operate) // two operators race
-	s.run(s.readBack)
+	s.done.Go(s.operate)
+	s.done.Go(s.operate) // two operators race
+	s.done.Go(s.readBack)
 	for n := range callers {
 		c, err := s.newCaller(n)
 		if err != nil {
 			return err
 		}
 		for range flowsAtOnce {
-			s.run(c.flows)
+			s.done.Go(c.flows)
 		}
 	}
 	return s.awaitFirstFlow()
 }
 
-func (s *soak) run(fn func()) {
-	s.done.Add(1)
-	go func() {
-		defer s.done.Done()
-		fn()
-	}()
-}
-
 // pause waits, and reports whether the run goes on.
 func (s *soak) pause(d time.Duration) bool {
 	select {
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -61,10 +61,10 @@
 	s.web = &http.Server{Handler: s.HTTP, ReadHeaderTimeout: time.Minute}
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
-	s.run(s.Packets.serve)
-	s.run(func() { _ = s.web.Serve(s.request) })
-	s.run(func() { serveEcho(s.stream) })
-	s.run(func() { s.announceLoop(ctx) })
+	s.wg.Go(s.Packets.serve)
+	s.wg.Go(func() { _ = s.web.Serve(s.request) })
+	s.wg.Go(func() { serveEcho(s.stream) })
+	s.wg.Go(func() { s.announceLoop(ctx) })
 	return s, nil
 }
 
@@ -82,14 +82,6 @@
 	return nil
 }
 
-func (s *Server) run(fn func()) {
-	s.wg.Add(1)
-	go func() {
-		defer s.wg.Done()
-		fn()
-	}()
-}
-
 // SetState changes the announced state and announces it at once.
 func (s *Server) SetState(ctx context.Context, state model.BackendState) error {
 	s.mu.Lock()
--- a/internal/steering/table.go
+++ b/internal/steering/table.go
@@ -44,21 +44,26 @@
 // Build returns the table of a document and the known backend servers. A nil
 // document gives a table that knows no route.
 func Build(d *document.Document, records []catalog.Record) *Table {
-	t := &Table{
-		routes:   map[netip.AddrPort]*document.Route{},
-		services: map[string][]*Server{},
-		tokens:   map[Token]*Server{},
-	}
+	t := &Table{routes: map[netip.AddrPort]*document.Route{}}
 	if d != nil {
 		t.Version = d.Version
 		for i := range d.Routes {
 			t.routes[d.Routes[i].Address] = &d.Routes[i]
 		}
 	}
+	return t.WithServers(records)
+}
+
+// WithServers returns a table of the same document with other backend servers.
+func (t *Table) WithServers(records []catalog.Record) *Table {
+	next := &Table{
+		Version: t.Version, routes: t.routes,
+		services: map[string][]*Server{}, tokens: make(map[Token]*Server, len(records)),
+	}
 	for _, r := range records {
-		t.add(&Server{Record: r, Token: TokenOf(r.ID)})
+		next.add(&Server{Record: r, Token: TokenOf(r.ID)})
 	}
-	return t
+	return next
 }
 
 // add adds a backend server. Of two with one token, the one that was started
