Correct load in small steps, so that short flows do not swing

Flows that end within seconds follow the factor before the next evaluation, 5 s later, so that the load swung: with flows of 5 s, 14 backend servers moved 22,602 buckets in 900 s in which nothing changed, at an imbalance of 1.08 to 1.12.

Change: every evaluation goes a fifth of the way, the whole way at once when a backend server came or went; a backend server that has just come may use the last place; a correction begins at half the imbalance (still two deviations of chance at least).

--- a/internal/place/imbalance_test.go
+++ b/internal/place/imbalance_test.go
@@ -62,6 +62,7 @@
 	w       *world
 	r       *rand.Rand
 	f       fleet
+	life    float64         // of a flow on average, in seconds
 	t       int             // seconds
 	open    counts          // flows now
 	old     counts          // those of them from before the last change
@@ -69,12 +70,12 @@
 	oldEnds [horizon]counts
 }
 
-func newLoad(f fleet, seed uint64) *load {
+func newLoad(f fleet, life float64, seed uint64) *load {
 	ops := service(f.name, 16)[:1]
 	if *buckets > 0 {
 		ops = service(f.name, *buckets)[:2]
 	}
-	l := &load{w: newWorld(3, 20, ops...), r: rand.New(rand.NewPCG(seed, 0)), f: f}
+	l := &load{w: newWorld(3, 20, ops...), r: rand.New(rand.NewPCG(seed, 0)), f: f, life: life}
 	l.w.add(f.name, f.backends)
 	l.w.tick = time.Second / 2
 	l.w.run(4 * time.Second)
@@ -90,7 +91,7 @@
 	list := l.w.buckets(l.f.name)
 	for range count {
 		n := list[l.r.IntN(len(list))].Opening()
-		end := l.t + 1 + int(l.r.ExpFloat64()*meanLife)
+		end := l.t + 1 + int(l.r.ExpFloat64()*l.life)
 		l.open[n]++
 		if end < horizon {
 			l.ends[end][n]++
@@ -100,7 +101,7 @@
 
 // run simulates some seconds.
 func (l *load) run(seconds int) {
-	perStep := float64(l.f.flows*l.f.backends) / meanLife / 2
+	perStep := float64(l.f.flows*l.f.backends) / l.life / 2
 	for range seconds {
 		l.t++
 		l.w.flows = map[table.BackendNum]float64{}
@@ -177,20 +178,22 @@
 	{"no change", func(l *load) {}},
 	{"one drains", func(l *load) { l.w.backends[0].State = model.Draining }},
 	{"one is lost", func(l *load) { l.lose(0) }},
-	{"one restarts after a drain", func(l *load) {
-		l.w.backends[0].State = model.Draining
-		l.run(settleTime)
-		l.lose(0)
-		l.run(30)
-		l.w.backends[0].State = model.Ready
-		l.w.backends[0].Incarnation++
-	}},
+	{"one restarts after a drain", restart},
 	{"one joins", func(l *load) {
 		l.w.add(l.f.name, l.f.backends+1)
 		l.w.backends = l.w.backends[l.f.backends:]
 	}},
 }
 
+func restart(l *load) {
+	l.w.backends[0].State = model.Draining
+	l.run(settleTime)
+	l.lose(0)
+	l.run(30)
+	l.w.backends[0].State = model.Ready
+	l.w.backends[0].Incarnation++
+}
+
 // row is the worst of all seeds for one change to one service.
 type row struct {
 	react, reactLeast, settled, settledLeast float64
@@ -222,7 +225,7 @@
 }
 
 func (r *row) measure(t *testing.T, f fleet, s scenario, seed uint64) {
-	l := newLoad(f, seed)
+	l := newLoad(f, meanLife, seed)
 	s.do(l)
 	l.change()
 	l.run(reactTime)
@@ -244,6 +247,64 @@
 	}
 }
 
+// TestShortFlowsDoNotSwing plays flows that end sooner than loads are judged
+// again. A correction that takes full effect before the next one must not move
+// buckets to and fro while nothing changes.
+func TestShortFlowsDoNotSwing(t *testing.T) {
+	for _, life := range []float64{1, 5, 30} {
+		for _, f := range fleets[:2] {
+			l := newLoad(f, life, 1)
+			moves := l.moves(settleTime)
+			t.Logf("%s, flows of %v s: %d moves in %d s", f.name, life, moves, settleTime)
+			if moves > settleTime {
+				t.Errorf("%s, flows of %v s: more than one bucket moves a second", f.name, life)
+			}
+		}
+	}
+}
+
+// TestReturnedServerGetsAllNewFlows plays a restart after many small moves, by
+// which some buckets have nearly as many candidates as they can have.
+func TestReturnedServerGetsAllNewFlows(t *testing.T) {
+	const reaction = 3 // seconds in which hosts acknowledge the moves
+	f := fleets[3]
+	for _, seed := range []uint64{4, 9, 10, 14, 19} {
+		l := newLoad(f, meanLife, seed)
+		restart(l)
+		l.run(reaction)
+		returned := l.w.num(l.w.backends[0].ID)
+		for _, n := range openings(l.w.buckets(f.name)) {
+			if n != returned {
+				t.Errorf("%s, seed %d: a bucket stayed with backend server %d", f.name, seed, n)
+			}
+		}
+	}
+}
+
+// moves simulates some seconds and counts how often a bucket's new flows went
+// to another backend server than before.
+func (l *load) moves(seconds int) int {
+	count := 0
+	for range seconds {
+		before := openings(l.w.buckets(l.f.name))
+		l.run(1)
+		for i, n := range openings(l.w.buckets(l.f.name)) {
+			if n != before[i] {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+func openings(buckets []table.Bucket) []table.BackendNum {
+	list := make([]table.BackendNum, len(buckets))
+	for i := range buckets {
+		list[i] = buckets[i].Opening()
+	}
+	return list
+}
+
 func TestWaterLevel(t *testing.T) {
 	c := qt.New(t)
 	c.Assert(waterLevel([]float64{5, 1, 3}, 12), qt.Equals, 5.0)
--- a/internal/place/load.go
+++ b/internal/place/load.go
@@ -15,7 +15,7 @@
 	factorScale     = 1000 // parts of a factor of 1
 	// worthAtFullWeight is the imbalance from which a correction is worth its
 	// moves at a balance.imbalance_weight of 1. At less weight it is more.
-	worthAtFullWeight = 0.02
+	worthAtFullWeight = 0.01
 	// gainAtFullWeight is how much a share changes per unit of imbalance.
 	gainAtFullWeight = 8
 	minFactor        = 0.5
@@ -23,6 +23,10 @@
 	// factorStep is the least change of a factor. Smaller ones would move
 	// buckets to and fro as flows come and go by chance.
 	factorStep = 0.08
+	// correctionPace is the part of the way to the computed factor that one
+	// evaluation goes. At a larger one the load of flows that end within a few
+	// seconds swings, as it follows each correction before the next one.
+	correctionPace = 0.2
 	// noiseLimit is the imbalance, in standard deviations of a count of flows
 	// placed by chance, below which nothing is corrected.
 	noiseLimit = 2
@@ -49,10 +53,11 @@
 // balance is what the planner remembers of a service's load.
 type balance struct {
 	evaluated time.Time
-	members   int       // usable at that time
-	changed   time.Time // when that number changed
-	active    bool      // a correction is under way
-	factors   map[table.BackendNum]float64
+	members   int                          // usable at that time
+	changed   time.Time                    // when that number changed
+	active    bool                         // a correction is under way
+	wants     map[table.BackendNum]float64 // factors that the last evaluation came to
+	factors   map[table.BackendNum]float64 // those in force, which follow in steps
 	claims    map[table.BackendNum]claim
 }
 
@@ -72,7 +77,7 @@
 	}
 	bal := s.r.planner.balances[s.name]
 	if bal == nil {
-		bal = &balance{factors: map[table.BackendNum]float64{}, claims: map[table.BackendNum]claim{}}
+		bal = &balance{wants: map[table.BackendNum]float64{}, factors: map[table.BackendNum]float64{}, claims: map[table.BackendNum]claim{}}
 		s.r.planner.balances[s.name] = bal
 	}
 	usable := s.usableMembers()
@@ -105,6 +110,7 @@
 	for _, m := range members {
 		stays[m.Num] = true
 	}
+	maps.DeleteFunc(b.wants, func(n table.BackendNum, _ float64) bool { return !stays[n] })
 	maps.DeleteFunc(b.factors, func(n table.BackendNum, _ float64) bool { return !stays[n] })
 	maps.DeleteFunc(b.claims, func(n table.BackendNum, _ claim) bool { return !stays[n] })
 }
@@ -128,6 +134,14 @@
 	return int64(math.Round(f * factorScale))
 }
 
+// wanted returns the factor that the last evaluation came to.
+func (b *balance) wanted(n table.BackendNum) float64 {
+	if f, ok := b.wants[n]; ok {
+		return f
+	}
+	return 1
+}
+
 func (b *balance) factor(n table.BackendNum) float64 {
 	if f, ok := b.factors[n]; ok {
 		return f
@@ -158,8 +172,14 @@
 		return
 	}
 	boosted := b.evaluated.Sub(b.changed) < boostTime
+	pace := correctionPace
+	if b.evaluated.Equal(b.changed) {
+		pace = 1
+	}
 	for i, m := range members {
-		f := factor(ratios[i], imbalance, boosted)
+		last := b.wanted(m.Num)
+		f := last + pace*(factor(ratios[i], imbalance, boosted)-last)
+		b.wants[m.Num] = f
 		if math.Abs(f-b.factor(m.Num)) >= factorStep {
 			b.factors[m.Num] = f
 		}
--- a/internal/place/move.go
+++ b/internal/place/move.go
@@ -7,7 +7,8 @@
 )
 
 // spareCandidates is the number of places in a bucket's list that moves for
-// balance leave free for drains and losses.
+// balance leave free for drains and losses. A backend server that has just come
+// may use them too: it needs most of the new flows to fill up.
 const spareCandidates = 1
 
 // replaceUnusable gives buckets whose backend server drains or is lost another
@@ -117,10 +118,11 @@
 }
 
 func (s *servicePlan) forMoving(b *table.Bucket, receivers []*member) *member {
-	if b.Len() >= table.MaxCandidates-spareCandidates {
+	to := neediest(receivers)
+	if to == nil || b.Len() >= table.MaxCandidates-spareCandidates && !to.isNew() {
 		return nil
 	}
-	return neediest(receivers)
+	return to
 }
 
 func neediest(receivers []*member) *member {
--- a/internal/place/round.go
+++ b/internal/place/round.go
@@ -25,6 +25,10 @@
 // deficit returns the number of buckets that the member lacks.
 func (m *member) deficit() int { return m.quota - m.have }
 
+// isNew reports whether the member has so few buckets that it must have come
+// just now.
+func (m *member) isNew() bool { return m.deficit() > m.quota/2 }
+
 // bucketID names a bucket.
 type bucketID struct {
 	service string
