--- a/internal/place/load.go
+++ b/internal/place/load.go
@@ -162,8 +162,10 @@
 	for _, r := range ratios {
 		worst = max(worst, r-1)
 	}
+	begins := false
 	switch {
 	case worst > enter:
+		begins = !b.active
 		b.active = true
 	case worst < enter/2:
 		b.active = false
@@ -173,7 +175,7 @@
 	}
 	boosted := b.evaluated.Sub(b.changed) < boostTime
 	pace := correctionPace
-	if b.evaluated.Equal(b.changed) {
+	if begins || b.evaluated.Equal(b.changed) {
 		pace = 1
 	}
 	for i, m := range members {
