--- a/internal/council/council_test.go
+++ b/internal/council/council_test.go
@@ -133,7 +133,7 @@
 	return count
 }
 
-func apply(t *testing.T, s Situation, step Step) Situation {
+func apply(t testing.TB, s Situation, step Step) Situation {
 	var err error
 	switch step.Verb {
 	case Add:
