Refuse reads on a host that has received no state

Cause: a control host under 'quayd run' whose disk was lost answered 'settings get' from an empty tree: the default of 8 where 120 was in force. Lists of services, backend servers and changes came empty.

Change: these calls answer NotCurrent with the remedy while the host's revision is 0, which a member of a log never has. 'status' and the list of hosts still answer.

Test: TestHostWithoutStateAnswersNoReads, six reads, fails before. go test ./internal/daemon ./internal/emulator ./internal/apiserver: ok.

--- a/internal/apiserver/apiserver.go
+++ b/internal/apiserver/apiserver.go
@@ -68,8 +68,21 @@
 // Unwrap returns the typed error.
 func (e *conflictError) Unwrap() error { return e.cause }
 
+// known fails on a host that has received no state yet. Defaults and empty lists
+// would pass for what is in force.
+func (s *Server) known() error {
+	if s.Replica.Revision() > 0 {
+		return nil
+	}
+	return fault.New(fault.NotCurrent, "ask another host; if this is a control host that lost its disk, run 'quayctl control add'",
+		"host %s has received no state yet", s.Name)
+}
+
 // GetSettings returns the effective settings of a node.
 func (s *Server) GetSettings(_ context.Context, p api.GetSettingsParams) (*api.SettingList, error) {
+	if err := s.known(); err != nil {
+		return nil, err
+	}
 	path, err := settings.CleanPath(p.Path)
 	if err != nil {
 		return nil, err
@@ -104,6 +117,9 @@
 
 // GetTree returns all values that were set.
 func (s *Server) GetTree(context.Context) (*api.SettingList, error) {
+	if err := s.known(); err != nil {
+		return nil, err
+	}
 	list := &api.SettingList{Settings: []api.Setting{}}
 	s.Replica.Read(func(st *state.State) {
 		list.Revision = int64(st.SettingsRevision)
@@ -137,6 +153,9 @@
 	var result state.Result
 	var err error
 	if dryRun {
+		if err := s.known(); err != nil {
+			return result, err
+		}
 		s.Replica.Read(func(st *state.State) { result = st.Check(change) })
 	} else {
 		result, err = s.Submit.Submit(ctx, change)
@@ -149,6 +168,9 @@
 
 // ListChanges returns accepted changes, newest first.
 func (s *Server) ListChanges(_ context.Context, p api.ListChangesParams) (*api.ChangeList, error) {
+	if err := s.known(); err != nil {
+		return nil, err
+	}
 	list := &api.ChangeList{Changes: []api.Change{}}
 	s.Replica.Read(func(st *state.State) {
 		changes := st.ChangesAfter(uint64(p.After.Value))
--- a/internal/apiserver/lists.go
+++ b/internal/apiserver/lists.go
@@ -33,6 +33,9 @@
 
 // ListServices returns all services.
 func (s *Server) ListServices(context.Context) ([]api.Service, error) {
+	if err := s.known(); err != nil {
+		return nil, err
+	}
 	list := []api.Service{}
 	s.Replica.Read(func(st *state.State) {
 		for _, name := range st.Tree.Services() {
@@ -92,6 +95,9 @@
 
 // ListBackends returns all backend servers of the placement.
 func (s *Server) ListBackends(context.Context) ([]api.Backend, error) {
+	if err := s.known(); err != nil {
+		return nil, err
+	}
 	list := []api.Backend{}
 	for _, b := range s.Replica.Table().Backends {
 		item := api.Backend{ID: b.ID, Service: b.Service, Zone: b.Zone, Address: b.Packet.String(), State: string(b.State), Slots: b.Slots, Weight: b.Weight}
