--- a/internal/fleet/packets.go
+++ b/internal/fleet/packets.go
@@ -120,13 +120,14 @@
 }
 
 // logDecision writes a line for each decision that places, refuses or drops. A
-// packet of an open flow only gets one if a request starts in it.
+// packet that goes on in an open flow only gets one if a request starts in it.
 func (h *EntryHost) logDecision(datagram []byte, p steering.Packet, d steering.Decision, in inputs) {
 	request := ""
-	if d.Reason == steering.ByToken {
-		if request = h.format.RequestID(datagram); request == "" {
-			return
-		}
+	if !p.Opening {
+		request = h.format.RequestID(datagram)
+	}
+	if d.Reason == steering.ByToken && request == "" {
+		return
 	}
 	if !h.log.Allow(d.Reason.String()) {
 		return
