--- a/internal/place/correction_test.go
+++ b/internal/place/correction_test.go
@@ -26,7 +26,7 @@
 // which some buckets have nearly as many candidates as they can have.
 func TestReturnedServerGetsAllNewFlows(t *testing.T) {
 	const reaction = 3 // seconds in which hosts acknowledge the moves
-	f := fleets[3] // of four backend servers, so that buckets move often
+	f := fleets[3]     // of four backend servers, so that buckets move often
 	for _, seed := range []uint64{4, 9, 10, 14, 19} {
 		l := newLoad(f, meanLife, seed)
 		restart(l)
