Take back the resets for unresponsive backend servers

'An open flow was reset by front-kariakoo-12 while its server serves', its last packet there 2.3 s before.

Ruled out: keeping it where links are not paced.

Conclusion: reverted, with the soak's part of it. A next attempt needs a sign that does not pass the host's own link: missed heartbeats besides.

--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -26,7 +26,6 @@
 	Timeout  uint32 // milliseconds, of a request
 	Aim      uint32 // milliseconds within which a request should be answered, 0 if none is set
 	Priority int    // 0 is the highest
-	Retried  bool   // callers repeat its requests after any failure, since that does no harm
 }
 
 // Target is a service that takes a part of a route's new flows.
--- a/internal/fleet/packets.go
+++ b/internal/fleet/packets.go
@@ -120,14 +120,13 @@
 }
 
 // logDecision writes a line for each decision that places, refuses or drops. A
-// packet that goes on in an open flow only gets one if a request starts in it.
+// packet of an open flow only gets one if a request starts in it.
 func (h *EntryHost) logDecision(datagram []byte, p steering.Packet, d steering.Decision, in inputs) {
 	request := ""
-	if !p.Opening {
-		request = h.format.RequestID(datagram)
-	}
-	if d.Reason == steering.ByToken && request == "" {
-		return
+	if d.Reason == steering.ByToken {
+		if request = h.format.RequestID(datagram); request == "" {
+			return
+		}
 	}
 	if !h.log.Allow(d.Reason.String()) {
 		return
--- a/internal/soak/backends.go
+++ b/internal/soak/backends.go
@@ -210,9 +210,6 @@
 		b.soak.checks.violate("a packet of a flow of backend %s reached backend %s", owner.id, b.id)
 		return
 	}
-	if known && len(p.Data) == 0 {
-		return // an acknowledgement
-	}
 	flags := byte(standin.ACK)
 	if !known {
 		flags = standin.RST
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -178,7 +178,6 @@
 			f.caller.soak.checks.violate("request %q got the answer %q", data, p.Data)
 		}
 		f.caller.soak.checks.request(true)
-		f.send(standin.Packet{Token: f.token, Sequence: n, Flags: standin.ACK}) // it got the answer
 		return true
 	}
 	f.caller.soak.checks.request(false)
--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -59,12 +59,10 @@
 	UnknownToken               // no backend server with this token is known
 	ServerGone                 // the flow's backend server has ended
 	OpenAlready                // a copy of an opening packet came after its flow was open
-	Unresponsive               // the flow's backend server has crashed, as far as can be told
 )
 
 var reasonNames = [...]string{
 	"by_token", "placed", "placed_again", "no_state", "no_route", "no_server", "unknown_token", "server_gone", "open_already",
-	"unresponsive",
 }
 
 // String returns the name of the reason.
@@ -152,11 +150,7 @@
 	case server.Status == catalog.Gone:
 		return Decision{Verdict: Refuse, Reason: ServerGone, Server: server}
 	}
-	opened := s.confirm(now, p.Flow(), server)
-	if s.suspects.unresponsive(now, server, p) && s.table.retried(p.Route) {
-		return Decision{Verdict: Refuse, Reason: Unresponsive, Server: server}
-	}
-	return Decision{Verdict: Forward, Reason: ByToken, Server: server, Opened: opened}
+	return Decision{Verdict: Forward, Reason: ByToken, Server: server, Opened: s.confirm(now, p.Flow(), server)}
 }
 
 // confirm notes that a flow placed here is open, and returns how long that took.
--- a/internal/steering/suspicion.go
+++ b/internal/steering/suspicion.go
@@ -19,9 +19,6 @@
 	born  int64
 	count int // unanswered opening packets in a row
 	until time.Duration
-	// Of its open flows, see unresponsive.
-	sent    map[Flow]sent
-	crashed bool
 }
 
 // suspects holds the suspicions of one host, by id.
@@ -37,7 +34,7 @@
 func (s *suspects) add(now time.Duration, id string, born int64) {
 	x := s.byID[id]
 	if x == nil || x.born != born {
-		x = &suspicion{born: born, sent: map[Flow]sent{}}
+		x = &suspicion{born: born}
 		s.byID[id] = x
 	}
 	x.count++
--- a/internal/steering/table.go
+++ b/internal/steering/table.go
@@ -102,12 +102,6 @@
 	return time.Duration(r.Aim) * time.Millisecond
 }
 
-// retried reports whether callers repeat requests of the route after a reset.
-func (t *Table) retried(route netip.AddrPort) bool {
-	r := t.routes[route]
-	return r != nil && r.Retried
-}
-
 // Ready reports whether the table suffices to decide about new flows: it has a
 // document, and has heard of backend servers, even if none is left.
 func (t *Table) Ready() bool { return t.Version != 0 && len(t.tokens) > 0 }
