--- a/internal/fleet/controllog.go
+++ b/internal/fleet/controllog.go
@@ -32,7 +32,7 @@
 	if err != nil {
 		return err
 	}
-	h.hint = newHintFile(h.cfg.Data, func(err error) {
+	h.hint = newHintFile(folder, func(err error) {
 		h.log.Event("hint", "could not save the known backend servers", eventlog.Fields{"error": err.Error()})
 	})
 	own := logAddr(h.cfg.feedAddr())
--- a/internal/fleet/hint.go
+++ b/internal/fleet/hint.go
@@ -3,8 +3,6 @@
 import (
 	"errors"
 	"io/fs"
-	"os"
-	"path/filepath"
 	"sync/atomic"
 	"time"
 
@@ -12,8 +10,11 @@
 
 	"greengagequay/internal/catalog"
 	"greengagequay/internal/eventlog"
+	"greengagequay/internal/wal"
 )
 
+const hintName = "backends.hint"
+
 // hintPause is the least time between two writes of the hint.
 const hintPause = 2 * time.Second
 
@@ -21,15 +22,15 @@
 // of power hosts can place flows before backend servers have announced
 // themselves again. A missing or broken one only costs that time.
 type hintFile struct {
-	path     string
+	disk     wal.Disk
 	revision uint64
 	savedAt  time.Time
 	busy     atomic.Bool
 	failed   func(error) // told of each write that failed
 }
 
-func newHintFile(folder string, failed func(error)) *hintFile {
-	return &hintFile{path: filepath.Join(folder, "backends.hint"), failed: failed}
+func newHintFile(disk wal.Disk, failed func(error)) *hintFile {
+	return &hintFile{disk: disk, failed: failed}
 }
 
 // due reports whether there are changes that should be saved.
@@ -54,32 +55,12 @@
 	if err != nil {
 		return err
 	}
-	temporary := f.path + ".new"
-	file, err := os.Create(temporary)
-	if err != nil {
-		return err
-	}
-	_, err = file.Write(data)
-	if err == nil {
-		err = file.Sync()
-	}
-	if err := errors.Join(err, file.Close()); err != nil {
-		return err
-	}
-	if err := os.Rename(temporary, f.path); err != nil {
-		return err
-	}
-	folder, err := os.Open(filepath.Dir(f.path))
-	if err != nil {
-		return err
-	}
-	defer folder.Close()
-	return folder.Sync()
+	return wal.ReplaceFile(f.disk, hintName, data)
 }
 
 // load returns the records of the hint, and none if there is no hint.
 func (f *hintFile) load() ([]catalog.Record, error) {
-	data, err := os.ReadFile(f.path)
+	data, err := f.disk.ReadFile(hintName)
 	if errors.Is(err, fs.ErrNotExist) {
 		return nil, nil
 	}
--- a/internal/wal/snapshot.go
+++ b/internal/wal/snapshot.go
@@ -14,8 +14,28 @@
 	if l.failed != nil {
 		return l.failed
 	}
-	_ = l.disk.Remove(temporaryName)
-	file, err := l.disk.Open(temporaryName)
+	if err := writeTemporary(l.disk, temporaryName, data); err != nil {
+		return err
+	}
+	if err := putInPlace(l.disk, temporaryName, name); err != nil {
+		return l.fail(err)
+	}
+	return nil
+}
+
+// ReplaceFile replaces a file beside the log: after a crash it holds its old or
+// its new content.
+func ReplaceFile(d Disk, name string, data []byte) error {
+	temporary := name + ".new"
+	if err := writeTemporary(d, temporary, data); err != nil {
+		return err
+	}
+	return putInPlace(d, temporary, name)
+}
+
+func writeTemporary(d Disk, name string, data []byte) error {
+	_ = d.Remove(name)
+	file, err := d.Open(name)
 	if err != nil {
 		return diskError(err, "mend the disk or free space")
 	}
@@ -24,15 +44,16 @@
 		err = file.Sync()
 	}
 	if err := errors.Join(err, file.Close()); err != nil {
-		_ = l.disk.Remove(temporaryName)
+		_ = d.Remove(name)
 		return diskError(err, "free space on the disk; the host goes on by itself")
 	}
-	if err := errors.Join(l.disk.Rename(temporaryName, name), l.disk.SyncDir()); err != nil {
-		return l.fail(err)
-	}
 	return nil
 }
 
+func putInPlace(d Disk, temporary, name string) error {
+	return errors.Join(d.Rename(temporary, name), d.SyncDir())
+}
+
 // SaveSnapshot makes a snapshot survive a crash and removes the segments that
 // it replaces.
 func (l *Log) SaveSnapshot(s raft.Snapshot) error {
