Ask the log for its role without building its whole status

Each turn of a control host's loop built raft.Status three times, with two maps on the leader, to look at the role, the term and the last entry. Node.Role, Term and Blank answer these.

--- a/internal/control/engine.go
+++ b/internal/control/engine.go
@@ -62,15 +62,9 @@
 	return e, err
 }
 
-// blank reports whether the host has no part in any log yet.
-func (e *engine) blank(now time.Duration) bool {
-	st := e.node.Status(now)
-	return st.Term == 0 && st.Last == 0
-}
-
 // found starts a new log whose voters are the given members.
 func (e *engine) found(now time.Duration, members []raft.Member) error {
-	if !e.blank(now) {
+	if !e.node.Blank() {
 		return fault.New(fault.Conflict, "remove \"bootstrap\" from the settings", "this host is a member already")
 	}
 	first := raft.Entry{Index: 1, Term: 1, Type: raft.EntryMembership, Data: raft.EncodeMembership(raft.Membership{Members: members})}
@@ -170,7 +164,7 @@
 	}
 	e.node.Tick(now)
 	e.saveCommit()
-	e.giveSeed(now)
+	e.giveSeed()
 }
 
 // saveCommit stores how far the log is committed, at most once per tick, so
@@ -185,12 +179,12 @@
 }
 
 // giveSeed proposes the seed of the flow hash once, at the start of a log.
-func (e *engine) giveSeed(now time.Duration) {
-	st := e.node.Status(now)
-	if st.Role != raft.Leader || st.Term == e.seededTerm || e.seed == nil {
+func (e *engine) giveSeed() {
+	term := e.node.Term()
+	if e.node.Role() != raft.Leader || term == e.seededTerm || e.seed == nil {
 		return
 	}
-	e.seededTerm = st.Term
+	e.seededTerm = term
 	seeded := false
 	e.replica.Read(func(s *state.State) { seeded = s.Seed != 0 })
 	if seeded {
--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -146,7 +146,7 @@
 	if h.Tuning.Tick == 0 {
 		h.Tuning.Tick = tickInterval
 	}
-	if len(h.Founders) == 0 || !h.engine.blank(0) {
+	if len(h.Founders) == 0 || !h.engine.node.Blank() {
 		return nil
 	}
 	return h.engine.found(0, h.Founders)
@@ -205,7 +205,7 @@
 func (h *Host) publish(now time.Duration) {
 	next := &published{
 		at: now, status: h.engine.node.Status(now), members: h.engine.node.Membership(),
-		blocked: h.engine.blocked(), blank: h.engine.blank(now),
+		blocked: h.engine.blocked(), blank: h.engine.node.Blank(),
 	}
 	was := h.status.Swap(next)
 	h.metrics.update(was, next)
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -35,7 +35,7 @@
 		e.answerReads(r)
 		e.compact()
 	}
-	e.noteRole(now)
+	e.noteRole()
 }
 
 // persist makes the batch survive a crash. It may be repeated.
@@ -175,8 +175,8 @@
 
 // noteRole ends what only a leader can answer. The commands may still be
 // committed by the next leader.
-func (e *engine) noteRole(now time.Duration) {
-	leads := e.node.Status(now).Role == raft.Leader
+func (e *engine) noteRole() {
+	leads := e.node.Role() == raft.Leader
 	if e.leading && !leads {
 		e.dropWaiters(errReplaced)
 	}
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -229,3 +229,9 @@
 
 // Term returns the present term.
 func (n *Node) Term() uint64 { return n.term }
+
+// Role returns the present role.
+func (n *Node) Role() Role { return n.role }
+
+// Blank reports whether the member has no part in any log yet.
+func (n *Node) Blank() bool { return n.term == 0 && n.log.last() == 0 }
