Keep a backend server's factor in one place

The factor in force and the one that the last evaluation came to stood in two maps with a getter and a clean-up each. The model of the member rules worked out the same situation twice for a step.

--- a/internal/council/fuzz_test.go
+++ b/internal/council/fuzz_test.go
@@ -132,7 +132,7 @@
 		return
 	}
 	w.checkStep(c, before, step)
-	w.membership = apply(c, w.situation(), step).Membership
+	w.membership = apply(c, before, step).Membership
 	c.Assert(w.quorum(), qt.IsTrue, qt.Commentf("%v leaves no quorum in touch", step))
 	w.commit()
 }
--- a/internal/place/load.go
+++ b/internal/place/load.go
@@ -53,14 +53,17 @@
 // balance is what the planner remembers of a service's load.
 type balance struct {
 	evaluated time.Time
-	members   int                          // usable at that time
-	changed   time.Time                    // when that number changed
-	active    bool                         // a correction is under way
-	wants     map[table.BackendNum]float64 // factors that the last evaluation came to
-	factors   map[table.BackendNum]float64 // those in force, which follow in steps
+	members   int       // usable at that time
+	changed   time.Time // when that number changed
+	active    bool      // a correction is under way
+	factors   map[table.BackendNum]scale
 	claims    map[table.BackendNum]claim
 }
 
+// scale is a backend server's factor. The one in force follows what evaluations
+// come to in steps.
+type scale struct{ inForce, evaluated float64 }
+
 // claim is the load that a backend server claimed last.
 type claim struct {
 	value  float64
@@ -77,7 +80,7 @@
 	}
 	bal := s.r.planner.balances[s.name]
 	if bal == nil {
-		bal = &balance{wants: map[table.BackendNum]float64{}, factors: map[table.BackendNum]float64{}, claims: map[table.BackendNum]claim{}}
+		bal = &balance{factors: map[table.BackendNum]scale{}, claims: map[table.BackendNum]claim{}}
 		s.r.planner.balances[s.name] = bal
 	}
 	usable := s.usableMembers()
@@ -110,8 +113,7 @@
 	for _, m := range members {
 		stays[m.Num] = true
 	}
-	maps.DeleteFunc(b.wants, func(n table.BackendNum, _ float64) bool { return !stays[n] })
-	maps.DeleteFunc(b.factors, func(n table.BackendNum, _ float64) bool { return !stays[n] })
+	maps.DeleteFunc(b.factors, func(n table.BackendNum, _ scale) bool { return !stays[n] })
 	maps.DeleteFunc(b.claims, func(n table.BackendNum, _ claim) bool { return !stays[n] })
 }
 
@@ -127,26 +129,18 @@
 
 // parts returns the member's factor in parts of factorScale.
 func (b *balance) parts(n table.BackendNum) int64 {
-	f := b.factor(n)
+	f := b.factor(n).inForce
 	if b.claims[n].counts {
 		f *= claimFactor
 	}
 	return int64(math.Round(f * factorScale))
 }
 
-// wanted returns the factor that the last evaluation came to.
-func (b *balance) wanted(n table.BackendNum) float64 {
-	if f, ok := b.wants[n]; ok {
-		return f
-	}
-	return 1
-}
-
-func (b *balance) factor(n table.BackendNum) float64 {
+func (b *balance) factor(n table.BackendNum) scale {
 	if f, ok := b.factors[n]; ok {
 		return f
 	}
-	return 1
+	return scale{inForce: 1, evaluated: 1}
 }
 
 // evaluate sets the factors from the counted flows. A correction begins when
@@ -179,12 +173,12 @@
 		pace = 1
 	}
 	for i, m := range members {
-		last := b.wanted(m.Num)
-		f := last + pace*(factor(ratios[i], imbalance, boosted)-last)
-		b.wants[m.Num] = f
-		if math.Abs(f-b.factor(m.Num)) >= factorStep {
-			b.factors[m.Num] = f
+		f := b.factor(m.Num)
+		f.evaluated += pace * (factor(ratios[i], imbalance, boosted) - f.evaluated)
+		if math.Abs(f.evaluated-f.inForce) >= factorStep {
+			f.inForce = f.evaluated
 		}
+		b.factors[m.Num] = f
 	}
 }
 
