Parse packets without a parser, register a timing once

flow.Parser holds nothing since headers are parsed by hand, and its comment that it is not safe for concurrent use was wrong: flow.Parse takes its place. metrics.Timing made a sample at each call, also of a known histogram, beside Histogram which does not; one now serves both.

--- a/internal/emulator/callers.go
+++ b/internal/emulator/callers.go
@@ -124,7 +124,6 @@
 
 // receive takes answers until the socket is closed.
 func (c *Callers) receive() {
-	parser := flow.NewParser()
 	buf := make([]byte, 65535)
 	for {
 		n, _, err := c.conn.ReadFromUDPAddrPort(buf)
@@ -132,7 +131,7 @@
 			return
 		}
 		var p flow.Packet
-		if parser.Parse(buf[:n], &p) == nil {
+		if flow.Parse(buf[:n], &p) == nil {
 			c.take(&p)
 		}
 	}
--- a/internal/entry/packets.go
+++ b/internal/entry/packets.go
@@ -55,7 +55,7 @@
 // Serve routes packets of the fabric until it is closed. Several may run at
 // once.
 func (f *Forwarder) Serve() {
-	w := &worker{f: f, parser: flow.NewParser()}
+	w := &worker{f: f}
 	buf := make([]byte, maxPacket)
 	for {
 		n, from, err := f.fabric.Read(buf)
@@ -68,7 +68,7 @@
 
 // ServeRelay routes packets of other entry hosts until the relay is closed.
 func (f *Forwarder) ServeRelay() {
-	w := &worker{f: f, parser: flow.NewParser()}
+	w := &worker{f: f}
 	buf := make([]byte, maxPacket)
 	for {
 		n, _, err := f.relay.Read(buf)
@@ -82,7 +82,6 @@
 // worker is what one goroutine needs to route packets.
 type worker struct {
 	f      *Forwarder
-	parser *flow.Parser
 	packet flow.Packet
 	header route.Header
 	out    []byte
@@ -90,7 +89,7 @@
 
 func (w *worker) fromFabric(data []byte, from netip.AddrPort) {
 	f := w.f
-	if err := w.parser.Parse(data, &w.packet); err != nil {
+	if err := flow.Parse(data, &w.packet); err != nil {
 		f.counts.malformed.Inc(1)
 		return
 	}
@@ -113,7 +112,7 @@
 		f.router.Confirmed(f.Seconds(), w.header)
 		return
 	}
-	if err := w.parser.Parse(packet, &w.packet); err != nil {
+	if err := flow.Parse(packet, &w.packet); err != nil {
 		f.counts.malformed.Inc(1)
 		return
 	}
--- a/internal/entry/packets_test.go
+++ b/internal/entry/packets_test.go
@@ -27,7 +27,7 @@
 	n, err := conn.Read(buf)
 	c.Assert(err, qt.IsNil)
 	var p flow.Packet
-	c.Assert(flow.NewParser().Parse(buf[:n], &p), qt.IsNil)
+	c.Assert(flow.Parse(buf[:n], &p), qt.IsNil)
 	return p
 }
 
--- a/internal/flow/flow_test.go
+++ b/internal/flow/flow_test.go
@@ -23,16 +23,15 @@
 
 func TestBuildAndParse(t *testing.T) {
 	c := qt.New(t)
-	parser := flow.NewParser()
 	for _, want := range packets() {
 		data, err := flow.Build(want, []byte("abc"))
 		c.Assert(err, qt.IsNil)
 		var got flow.Packet
-		c.Assert(parser.Parse(data, &got), qt.IsNil)
+		c.Assert(flow.Parse(data, &got), qt.IsNil)
 		want.Payload = 3
 		c.Check(got, qt.Equals, want)
 		for n := range data {
-			c.Check(parser.Parse(data[:n], &got), qt.IsNotNil, qt.Commentf("%d bytes", n))
+			c.Check(flow.Parse(data[:n], &got), qt.IsNotNil, qt.Commentf("%d bytes", n))
 		}
 	}
 }
@@ -41,8 +40,8 @@
 	c := qt.New(t)
 	data, err := flow.Build(packets()[0], nil)
 	c.Assert(err, qt.IsNil)
-	parser, out := flow.NewParser(), flow.Packet{}
-	c.Check(testing.AllocsPerRun(100, func() { _ = parser.Parse(data, &out) }), qt.Equals, 0.0)
+	out := flow.Packet{}
+	c.Check(testing.AllocsPerRun(100, func() { _ = flow.Parse(data, &out) }), qt.Equals, 0.0)
 }
 
 // The answer to a packet that is parsed can be built and parsed again.
@@ -54,17 +53,16 @@
 		}
 		f.Add(data)
 	}
-	parser := flow.NewParser()
 	f.Fuzz(func(t *testing.T, data []byte) {
 		var p, back flow.Packet
-		if parser.Parse(data, &p) != nil || !p.TCP() || p.RST {
+		if flow.Parse(data, &p) != nil || !p.TCP() || p.RST {
 			return
 		}
 		answer, err := flow.ResetFor(&p)
 		if err != nil {
 			t.Fatal(err)
 		}
-		if err := flow.NewParser().Parse(answer, &back); err != nil || !back.RST || back.Dst != p.Src {
+		if err := flow.Parse(answer, &back); err != nil || !back.RST || back.Dst != p.Src {
 			t.Fatalf("reset of %+v is %+v: %v", p, back, err)
 		}
 	})
--- a/internal/flow/library_test.go
+++ b/internal/flow/library_test.go
@@ -59,7 +59,7 @@
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		var p flow.Packet
-		if flow.NewParser().Parse(data, &p) != nil {
+		if flow.Parse(data, &p) != nil {
 			return
 		}
 		first := layers.LayerTypeIPv4
--- a/internal/flow/parse.go
+++ b/internal/flow/parse.go
@@ -25,15 +25,9 @@
 	tcpACK
 )
 
-// Parser parses packets. It is not safe for concurrent use.
-type Parser struct{}
-
-// NewParser returns a parser.
-func NewParser() *Parser { return &Parser{} }
-
 // Parse fills out from an IP packet. Fragments and protocols other than TCP
 // and UDP are refused with kind Invalid.
-func (p *Parser) Parse(data []byte, out *Packet) error {
+func Parse(data []byte, out *Packet) error {
 	if len(data) == 0 {
 		return malformed("it is empty")
 	}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -50,15 +50,14 @@
 
 // Histogram returns the histogram called name for a customer and class.
 func (r *Registry) Histogram(name, customer, class string) gometrics.Histogram {
-	full := name + "." + r.bounded(customer+"."+class)
-	return r.reg.GetOrRegister(full, func() gometrics.Histogram {
-		return gometrics.NewHistogram(gometrics.NewUniformSample(sampleSize))
-	}).(gometrics.Histogram)
+	return r.Timing(name + "." + r.bounded(customer+"."+class))
 }
 
 // Timing returns the histogram called name.
 func (r *Registry) Timing(name string) gometrics.Histogram {
-	return gometrics.GetOrRegisterHistogram(name, r.reg, gometrics.NewUniformSample(sampleSize))
+	return r.reg.GetOrRegister(name, func() gometrics.Histogram {
+		return gometrics.NewHistogram(gometrics.NewUniformSample(sampleSize))
+	}).(gometrics.Histogram)
 }
 
 func (r *Registry) bounded(series string) string {
--- a/internal/standin/packets.go
+++ b/internal/standin/packets.go
@@ -39,7 +39,6 @@
 }
 
 func (s *PacketServer) serve() {
-	parser := flow.NewParser()
 	buf := make([]byte, 65535)
 	for {
 		n, _, err := s.conn.ReadFromUDPAddrPort(buf)
@@ -47,7 +46,7 @@
 			return
 		}
 		var p flow.Packet
-		if parser.Parse(buf[:n], &p) != nil {
+		if flow.Parse(buf[:n], &p) != nil {
 			continue
 		}
 		if answer := s.handle(&p); answer != nil {
