Send states to entry hosts one at a time, compressed, with timeouts of progress

Cause: an entry host that follows no control host with a quorum follows all of them, and each one sends its whole state at once. On a link of 1.4 Mbit/s six states of 255 records take longer than the timeout of a write (1 s for a whole update) and of a read (1.5 s), so all connections end, all states are sent again, and the links stay full. After a loss of power 20 of 110 entry hosts knew a state 18 s later; a host that had stood still for 1.5 s got no update for 4.7 s and sent a flow to a draining backend server.

Ruled out: processor time (0.02 of a core on control hosts), the callers' packets (the links are full with connections between hosts).

--- /dev/null
+++ b/internal/catalog/address_test.go
@@ -0,0 +1,70 @@
+package catalog
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestOneServerPerAddress plays random announcements, departures, merges and
+// expiry with few ids and addresses. After each, every address must have at most
+// one backend server that is not gone, and the index must name it.
+func TestOneServerPerAddress(t *testing.T) {
+	for seed := range uint64(50) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		c := newCatalog("c1")
+		now := time.Duration(0)
+		for range 400 {
+			now += time.Duration(rng.IntN(3000)) * time.Millisecond
+			h := heartbeat(fmt.Sprint("s", rng.IntN(6)), rng.Int64N(8), rng.Uint64N(20))
+			h.Address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(rng.IntN(4))}), 80)
+			h.Draining = rng.IntN(4) == 0
+			switch rng.IntN(5) {
+			case 0:
+				c.Leave(now, h.ID, 0)
+			case 1:
+				c.Merge(now, "c2", []Record{{Heartbeat: h, Status: Status(rng.IntN(int(Gone) + 1)), Owner: "c2"}})
+			case 2:
+				c.Tick(now)
+			default:
+				c.ReceiveHeartbeat(now, h)
+			}
+			checkAddresses(t, c, seed)
+		}
+	}
+}
+
+func checkAddresses(t *testing.T, c *Catalog, seed uint64) {
+	t.Helper()
+	used := map[netip.AddrPort]*entry{}
+	for _, e := range c.entries {
+		if e.Status == Gone {
+			continue
+		}
+		qt.Assert(t, used[e.Address], qt.IsNil, qt.Commentf("seed %d: two backend servers at %v", seed, e.Address))
+		qt.Assert(t, c.byAddress[e.Address] == e, qt.IsTrue, qt.Commentf("seed %d: %v is not indexed", seed, e.Address))
+		used[e.Address] = e
+	}
+	qt.Assert(t, c.byAddress, qt.HasLen, len(used), qt.Commentf("seed %d", seed))
+}
+
+// BenchmarkFirstMerge measures how long a new host takes to merge all records.
+func BenchmarkFirstMerge(b *testing.B) {
+	for _, n := range []int{300, 3000, 10_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			var records []Record
+			for i := range n {
+				h := heartbeat(fmt.Sprint("s", i), 1, 1)
+				h.Address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 80)
+				records = append(records, Record{Heartbeat: h, Owner: "c1"})
+			}
+			for b.Loop() {
+				newCatalog("").Merge(0, "c1", records)
+			}
+		})
+	}
+}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -80,6 +80,7 @@
 type Catalog struct {
 	cfg            Config
 	entries        map[string]*entry
+	byAddress      map[netip.AddrPort]*entry // the backend server at each address that is not gone
 	revision       uint64
 	lastTick       time.Duration
 	connected      map[string]bool          // control hosts that this host is connected to
@@ -88,7 +89,10 @@
 
 // New returns an empty catalog.
 func New(cfg Config) *Catalog {
-	return &Catalog{cfg: cfg, entries: map[string]*entry{}, connected: map[string]bool{}, disconnectedAt: map[string]time.Duration{}}
+	return &Catalog{
+		cfg: cfg, entries: map[string]*entry{}, byAddress: map[netip.AddrPort]*entry{},
+		connected: map[string]bool{}, disconnectedAt: map[string]time.Duration{},
+	}
 }
 
 // Revision returns the revision of the catalog, which increases with each change
@@ -149,37 +153,52 @@
 // longer gone. Of two backend servers at one address, the one that started earlier
 // is gone.
 func (c *Catalog) admit(now time.Duration, r Record, from string) bool {
-	if r.Status != Gone {
-		for _, other := range c.entries {
-			if other.Address != r.Address || other.Status == Gone {
-				continue
-			}
-			if other.Born > r.Born {
-				r.Status = Gone
-				break
-			}
+	if other := c.byAddress[r.Address]; other != nil && r.Status != Gone {
+		if other.Born > r.Born {
+			r.Status = Gone
+		} else {
 			c.markGone(now, other)
 		}
 	}
-	c.entries[r.ID] = &entry{Record: r, updatedAt: now, revision: c.nextRevision(), from: from}
+	e := &entry{Record: r, updatedAt: now, revision: c.nextRevision(), from: from}
+	c.entries[r.ID] = e
+	if r.Status != Gone {
+		c.byAddress[r.Address] = e
+	}
 	return true
 }
 
 func (c *Catalog) markGone(now time.Duration, e *entry) {
+	c.releaseAddress(e)
 	e.Status, e.updatedAt, e.revision, e.from = Gone, now, c.nextRevision(), ""
 }
 
+// releaseAddress frees the address of a backend server that is gone or removed.
+func (c *Catalog) releaseAddress(e *entry) {
+	if c.byAddress[e.Address] == e {
+		delete(c.byAddress, e.Address)
+	}
+}
+
+func (c *Catalog) remove(e *entry) {
+	delete(c.entries, e.ID)
+	c.releaseAddress(e)
+}
+
 // replace replaces a record by a newer one. It reports whether others must know
 // the change.
 func (c *Catalog) replace(now time.Duration, old *entry, fresh Record, from string) bool {
 	revived := old.Status == Gone && fresh.Status != Gone
 	if revived || fresh.Address != old.Address || fresh.Born != old.Born {
-		delete(c.entries, fresh.ID)
+		c.remove(old)
 		return c.admit(now, fresh, from)
 	}
 	same := old.Status == fresh.Status && old.Owner == fresh.Owner && old.Service == fresh.Service &&
 		old.Slots == fresh.Slots && old.Zone == fresh.Zone
 	old.Record, old.updatedAt = fresh, now
+	if fresh.Status == Gone {
+		c.releaseAddress(old)
+	}
 	if same {
 		return false
 	}
@@ -259,9 +278,9 @@
 // not been updated for longer than any flow lasts. Hosts that receive no
 // heartbeats call it instead of Tick.
 func (c *Catalog) RemoveExpired(now time.Duration) {
-	for id, e := range c.entries {
+	for _, e := range c.entries {
 		if e.Status >= Silent && now-e.updatedAt > removeAfter {
-			delete(c.entries, id)
+			c.remove(e)
 		}
 	}
 }
--- a/internal/feed/bench_test.go
+++ b/internal/feed/bench_test.go
@@ -32,7 +32,7 @@
 	defer cancel()
 	addr := listener.Addr().String()
 	for i := range followers {
-		_, err := Follow(ctx, addr, addr, testDialTimeout, HostInfo{Name: fmt.Sprint(i)}, discardSink{})
+		_, err := Follow(ctx, target(addr), HostInfo{Name: fmt.Sprint(i)}, discardSink{})
 		c.Assert(err, qt.IsNil)
 	}
 	start, before := time.Now(), processorTime(c)
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -17,6 +17,7 @@
 type source struct {
 	mu       sync.Mutex
 	revision uint64
+	encoded  int // calls of Next
 	changed  chan struct{}
 	follower chan bool
 	reports  chan Report
@@ -26,9 +27,18 @@
 	return &source{changed: make(chan struct{}), follower: make(chan bool, 8), reports: make(chan Report, 8)}
 }
 
+func (s *source) Greeting() Update { return Update{From: HostInfo{Addr: "c1"}} }
+
+func (s *source) Position() Cursor {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Cursor{Revision: s.revision, Started: true}
+}
+
 func (s *source) Next(_ HostInfo, after Cursor) (Update, Cursor, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.encoded++
 	next := Cursor{Revision: s.revision, Started: true}
 	if next == after {
 		return Update{}, after, false
@@ -78,6 +88,10 @@
 
 const testDialTimeout = 10 * time.Second // long enough for a loaded machine
 
+func target(addr string) Target {
+	return Target{Addr: addr, DialAddr: addr, Timeout: testDialTimeout}
+}
+
 func follow(c *qt.C, s *source) (*Connection, *sink) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
@@ -85,7 +99,7 @@
 	c.Cleanup(server.Close)
 	received := &sink{connected: make(chan bool, 8), updates: make(chan Update, 100)}
 	addr := listener.Addr().String()
-	conn, err := Follow(context.Background(), addr, addr, testDialTimeout, HostInfo{Name: "e1"}, received)
+	conn, err := Follow(context.Background(), target(addr), HostInfo{Name: "e1"}, received)
 	c.Assert(err, qt.IsNil)
 	return conn, received
 }
@@ -117,7 +131,7 @@
 	defer listener.Close()
 	received := &sink{connected: make(chan bool, 8), updates: make(chan Update, 100)}
 	addr := listener.Addr().String()
-	conn, err := Follow(context.Background(), addr, addr, testDialTimeout, HostInfo{}, received)
+	conn, err := Follow(context.Background(), target(addr), HostInfo{}, received)
 	c.Assert(err, qt.IsNil)
 	<-conn.Done()
 	c.Assert(received.connected, qt.HasLen, 0)
@@ -125,25 +139,29 @@
 
 func TestFrames(t *testing.T) {
 	c := qt.New(t)
-	var buf bytes.Buffer
-	c.Assert(writeFrame(&buf, Hello{From: HostInfo{Name: "e1", Zone: "a"}}), qt.IsNil)
-	whole := buf.Bytes()
+	whole, err := encodeFrame(Hello{From: HostInfo{Name: "e1", Zone: "a"}}, true)
+	c.Assert(err, qt.IsNil)
 	var hello Hello
 	c.Assert(readFrame(bytes.NewReader(whole), &hello), qt.IsNil)
 	c.Assert(hello.From.Name, qt.Equals, "e1")
 	for n := range whole {
 		c.Assert(readFrame(bytes.NewReader(whole[:n]), &hello), qt.IsNotNil, qt.Commentf("%d bytes", n))
 	}
-	c.Assert(readFrame(bytes.NewReader([]byte{0xff, 0xff, 0xff, 0xff}), &hello), qt.ErrorMatches, ".*longer than.*")
+	c.Assert(readFrame(bytes.NewReader([]byte{0x7f, 0xff, 0xff, 0xff}), &hello), qt.ErrorMatches, ".*longer than.*")
 	c.Assert(readFrame(bytes.NewReader([]byte{0, 0, 0, 1, 0xff}), &hello), qt.ErrorMatches, "decode frame: .*")
 }
 
 func FuzzFrame(f *testing.F) {
-	var buf bytes.Buffer
-	if err := writeFrame(&buf, Update{Current: true, Suspects: []Suspect{{ID: "x"}}}); err != nil {
-		f.Fatal(err)
+	for _, u := range []Update{
+		{Current: true, Suspects: []Suspect{{ID: "x"}}},
+		{Records: make([]catalog.Record, 50)}, // large enough to be compressed
+	} {
+		frame, err := encodeFrame(u, true)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(frame)
 	}
-	f.Add(buf.Bytes())
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		var u Update
 		_ = readFrame(bytes.NewReader(data), &u) // it must not panic
--- a/internal/feed/frame.go
+++ b/internal/feed/frame.go
@@ -3,13 +3,18 @@
 // host that it follows. A follower first identifies itself, and then receives
 // updates. Both sides send heartbeats, and close the connection if they receive
 // nothing for the time of three heartbeats.
+//
+// The first update holds the whole state. A follower on a slow link can defer it:
+// then the server only sends its HostInfo until the follower asks for the state,
+// so that the follower can receive the state of one server at a time.
 package feed
 
 import (
+	"bytes"
+	"compress/flate"
 	"encoding/binary"
 	"fmt"
 	"io"
-	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -19,19 +24,17 @@
 	"greengagequay/internal/raft"
 )
 
-// Intervals and timeouts of a connection.
-const (
-	heartbeatInterval = 500 * time.Millisecond  // each side sends a heartbeat at this interval, also when it sends other frames
-	readTimeout       = 1500 * time.Millisecond // three heartbeat intervals
-	writeTimeout      = time.Second
-)
-
-// maxFrameBytes limits the size of a frame. A document of thousands of routes
-// fits.
+// maxFrameBytes limits the size of a frame before compression. A document of
+// thousands of routes fits.
 const maxFrameBytes = 8 << 20
 
-// lengthBytes is the size of the length before each frame.
-const lengthBytes = 4
+// Each frame starts with a header of 4 bytes: the length of its data, with
+// compressedBit set if the data is compressed (DEFLATE).
+const (
+	headerBytes        = 4
+	compressedBit      = 1 << 31
+	minCompressedBytes = 1 << 10 // smaller frames are sent uncompressed
+)
 
 // HostInfo is what a host sends about itself.
 type HostInfo struct {
@@ -45,57 +48,115 @@
 // Hello is the first frame that a follower sends. The follower's later frames are
 // reports.
 type Hello struct {
-	From HostInfo
+	From       HostInfo
+	Compressed bool // whether large frames are to be compressed, as for an entry host on a slow link
+	Deferred   bool // whether the server sends no state until the follower asks for it with Report.Sync
 }
 
 // Report is a frame from a follower. An empty one is a heartbeat.
 type Report struct {
 	Suspects []Suspect
+	Sync     bool // asks for the state that Hello.Deferred deferred
 }
 
 // Suspect is a backend server that left an opening packet of a caller unanswered.
 type Suspect struct {
-	ID   string
-	Born int64 // start time of the backend server in Unix milliseconds
+	ID       string
+	Born     int64  // start time of the backend server in Unix milliseconds
+	Reporter string // feed address of the entry host that reported it, empty in its own report
 }
 
-// Update is a frame to a follower. A heartbeat has no field but Current.
+// Update is a frame to a follower. A heartbeat has no fields but Current and
+// Synced.
 type Update struct {
-	From     HostInfo           // the sender, in its first update only
+	From     HostInfo           // the sender, in its greeting and in its first update with state
 	Peers    []HostInfo         // control hosts that the sender follows, in the first update and when they change
 	Current  bool               // whether the sender reaches a quorum
+	Synced   bool               // whether the follower has received the sender's state with this update or before
 	Document *document.Document // to entry hosts: a document that the follower lacks, without its source
 	Records  []catalog.Record   // records of backend servers that changed since the last update
-	Suspects []Suspect          // to entry hosts: suspects that other entry hosts reported since the last update
+	Suspects []Suspect          // to entry hosts: suspects that entry hosts reported since the last update
 }
 
-func writeFrame(w io.Writer, v any) error {
+// hasState reports whether the update, or one before it, held the state. Servers
+// of versions that cannot defer do not set Synced.
+func (u *Update) hasState() bool {
+	return u.Synced || u.Document != nil || len(u.Records) > 0
+}
+
+// encodeFrame encodes a frame. It compresses a large one if compress is set.
+func encodeFrame(v any, compress bool) ([]byte, error) {
 	data, err := cbor.Marshal(v)
 	if err != nil {
-		return fmt.Errorf("encode frame: %w", err)
+		return nil, fmt.Errorf("encode frame: %w", err)
 	}
-	buf := binary.BigEndian.AppendUint32(make([]byte, 0, lengthBytes+len(data)), uint32(len(data)))
-	if _, err := w.Write(append(buf, data...)); err != nil {
-		return fmt.Errorf("write frame: %w", err)
+	header := uint32(0)
+	if compress && len(data) >= minCompressedBytes {
+		if data, err = deflate(data); err != nil {
+			return nil, fmt.Errorf("compress frame: %w", err)
+		}
+		header = compressedBit
 	}
-	return nil
+	header |= uint32(len(data))
+	frame := binary.BigEndian.AppendUint32(make([]byte, 0, headerBytes+len(data)), header)
+	return append(frame, data...), nil
 }
 
+func deflate(data []byte) ([]byte, error) {
+	var out bytes.Buffer
+	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := w.Write(data); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return out.Bytes(), nil
+}
+
+// inflate decompresses data of at most maxFrameBytes.
+func inflate(data []byte) ([]byte, error) {
+	r := flate.NewReader(bytes.NewReader(data))
+	defer r.Close()
+	out, err := io.ReadAll(io.LimitReader(r, maxFrameBytes+1))
+	if err == nil && len(out) > maxFrameBytes {
+		err = tooLong(len(out))
+	}
+	return out, err
+}
+
+const frameRemedy = "check that both hosts run the same version"
+
+func tooLong(n int) error {
+	return fault.New(fault.Invalid, frameRemedy, "a frame of %d bytes is longer than %d", n, maxFrameBytes)
+}
+
+// readFrame reads a frame into a message.
 func readFrame(r io.Reader, into any) error {
-	var length [lengthBytes]byte
-	if _, err := io.ReadFull(r, length[:]); err != nil {
+	var header [headerBytes]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
 		return fmt.Errorf("read frame: %w", err)
 	}
-	n := binary.BigEndian.Uint32(length[:])
+	word := binary.BigEndian.Uint32(header[:])
+	n := word &^ compressedBit
 	if n > maxFrameBytes {
-		return fault.New(fault.Invalid, "check that both hosts run the same version", "a frame of %d bytes is longer than %d", n, maxFrameBytes)
+		return tooLong(int(n))
 	}
 	data := make([]byte, n)
 	if _, err := io.ReadFull(r, data); err != nil {
 		return fmt.Errorf("read frame: %w", err)
 	}
+	if word&compressedBit != 0 {
+		var err error
+		if data, err = inflate(data); err != nil {
+			return fault.New(fault.Invalid, frameRemedy, "decompress frame: %w", err)
+		}
+	}
 	if err := cbor.Unmarshal(data, into); err != nil {
-		return fault.New(fault.Invalid, "check that both hosts run the same version", "decode frame: %w", err)
+		return fault.New(fault.Invalid, frameRemedy, "decode frame: %w", err)
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/feed/framecache.go
@@ -0,0 +1,48 @@
+package feed
+
+import "sync"
+
+// maxCachedFrames is the number of encoded frames that a server keeps.
+const maxCachedFrames = 16
+
+// frameKey identifies a frame that is the same for all entry hosts.
+type frameKey struct {
+	after, next Cursor
+	compressed  bool
+}
+
+// frameCache holds the frames that were encoded last, since after a change, or
+// when many entry hosts connect at once, most of them need the same frame. While
+// one caller encodes a frame, the others wait for it.
+type frameCache struct {
+	mu     sync.Mutex
+	frames []cachedFrame // oldest first
+}
+
+type cachedFrame struct {
+	key  frameKey
+	data []byte
+}
+
+// get returns the frame of a key and the cursor after it. If the cache does not
+// have the frame, it calls encode, which returns a frame, nil if there is none,
+// and the cursor after it.
+func (c *frameCache) get(key frameKey, encode func() ([]byte, Cursor)) ([]byte, Cursor) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, f := range c.frames {
+		if f.key == key {
+			return f.data, key.next
+		}
+	}
+	data, next := encode()
+	if data == nil {
+		return nil, next
+	}
+	key.next = next // there may have been a change since the key was made
+	c.frames = append(c.frames, cachedFrame{key, data})
+	if len(c.frames) > maxCachedFrames {
+		c.frames = c.frames[1:]
+	}
+	return data, next
+}
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -21,6 +21,10 @@
 // Source provides the updates that a server sends, and handles reports of
 // followers. It is safe for concurrent use.
 type Source interface {
+	// Greeting returns the update that identifies the host. It holds no state.
+	Greeting() Update
+	// Position returns the cursor of a follower that has received everything.
+	Position() Cursor
 	// Next returns the update for a follower that has received everything up to
 	// the cursor after, and the new cursor. It returns false if the follower is up
 	// to date.
@@ -34,9 +38,14 @@
 	Reported(follower HostInfo, r Report)
 }
 
+// minUpdateInterval is the least time between two updates to one follower. Changes
+// that come closer together are sent in one update.
+const minUpdateInterval = 20 * time.Millisecond
+
 // Server serves followers.
 type Server struct {
 	source   Source
+	frames   frameCache
 	listener net.Listener
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -70,7 +79,8 @@
 
 // serve reads the hello of a follower, sends it updates and reads its reports
 // until the connection ends.
-func (s *Server) serve(conn net.Conn) {
+func (s *Server) serve(accepted net.Conn) {
+	conn := newTimedConn(accepted)
 	ctx, cancel := context.WithCancel(s.ctx)
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
@@ -78,62 +88,129 @@
 	defer conn.Close()
 	in := bufio.NewReader(conn)
 	var hello Hello
-	_ = conn.SetReadDeadline(time.Now().Add(readTimeout))
 	if err := readFrame(in, &hello); err != nil {
 		return // the peer is not a follower
 	}
 	s.source.FollowerChanged(hello.From, true)
 	defer s.source.FollowerChanged(hello.From, false)
+	wanted, want := context.WithCancel(ctx) // done when the follower wants the state
+	if !hello.Deferred {
+		want()
+	}
 	s.done.Go(func() {
 		defer cancel()
-		s.readReports(conn, in, hello.From)
+		s.readReports(in, hello.From, want)
 	})
-	s.sendUpdates(ctx, conn, hello.From)
+	if s.greet(ctx, conn, wanted.Done()) {
+		s.sendUpdates(ctx, conn, hello)
+	}
 }
 
 // readReports reads reports until the connection ends or the follower sends
-// nothing for readTimeout.
-func (s *Server) readReports(conn net.Conn, in *bufio.Reader, from HostInfo) {
+// nothing for readTimeout. It calls want when the follower asks for the state.
+func (s *Server) readReports(in *bufio.Reader, from HostInfo, want func()) {
+	defer want()
 	for {
 		var r Report
-		_ = conn.SetReadDeadline(time.Now().Add(readTimeout))
 		if err := readFrame(in, &r); err != nil {
 			return
 		}
+		if r.Sync {
+			want()
+		}
 		if len(r.Suspects) > 0 {
 			s.source.Reported(from, r)
 		}
 	}
 }
 
+// greet sends greetings at heartbeatInterval until the follower wants the state.
+// It returns false if the connection ended before.
+func (s *Server) greet(ctx context.Context, conn net.Conn, wanted <-chan struct{}) bool {
+	ticker := time.NewTicker(heartbeatInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-wanted:
+			return ctx.Err() == nil
+		default:
+		}
+		if !send(conn, s.source.Greeting(), false) {
+			return false
+		}
+		select {
+		case <-wanted:
+		case <-ticker.C:
+		}
+	}
+}
+
 // sendUpdates sends updates and heartbeats until a write fails or ctx is done.
-func (s *Server) sendUpdates(ctx context.Context, conn net.Conn, to HostInfo) {
+func (s *Server) sendUpdates(ctx context.Context, conn net.Conn, hello Hello) {
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
 	var cursor Cursor
 	for {
 		changed := s.source.Changed()
-		update, next, ok := s.source.Next(to, cursor)
-		if ok {
+		frame, next := s.nextFrame(hello, cursor)
+		if frame != nil {
 			cursor = next
-			if !send(conn, update) {
+			if _, err := conn.Write(frame); err != nil {
 				return
 			}
+			if !sleep(ctx, minUpdateInterval) {
+				return
+			}
+			continue // more may have changed meanwhile
 		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-changed:
 		case <-ticker.C:
-			if !send(conn, Update{Current: cursor.Current}) {
+			if !send(conn, Update{Current: cursor.Current, Synced: true}, false) {
 				return
 			}
 		}
 	}
 }
 
-// send writes one frame. It reports whether that succeeded.
-func send(conn net.Conn, v any) bool {
-	_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	return writeFrame(conn, v) == nil
+// sleep waits for d. It returns false if ctx is done before.
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// nextFrame returns the next frame for a follower and the cursor after it, or nil
+// if the follower is up to date. Entry hosts with the same cursor get the same
+// frame.
+func (s *Server) nextFrame(to Hello, after Cursor) ([]byte, Cursor) {
+	position := s.source.Position()
+	switch {
+	case position == after:
+		return nil, after
+	case to.From.Control:
+		return s.encodeNext(to, after)
+	}
+	key := frameKey{after: after, next: position, compressed: to.Compressed}
+	return s.frames.get(key, func() ([]byte, Cursor) { return s.encodeNext(to, after) })
+}
+
+// encodeNext encodes the next update for a follower. It returns nil if the
+// follower is up to date.
+func (s *Server) encodeNext(to Hello, after Cursor) ([]byte, Cursor) {
+	u, next, ok := s.source.Next(to.From, after)
+	if !ok {
+		return nil, after
+	}
+	u.Synced = true
+	frame, err := encodeFrame(u, to.Compressed)
+	if err != nil {
+		return nil, after
+	}
+	return frame, next
 }
--- a/internal/fleet/controlfeed.go
+++ b/internal/fleet/controlfeed.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"greengagequay/internal/catalog"
@@ -15,15 +17,33 @@
 	_ feed.Sink   = (*ControlHost)(nil)
 )
 
-// Next returns the update for a follower that has received everything up to the
-// cursor after, and the new cursor. It returns false if the follower is up to date.
-func (h *ControlHost) Next(to feed.HostInfo, after feed.Cursor) (feed.Update, feed.Cursor, bool) {
+// Greeting returns the update that identifies this host.
+func (h *ControlHost) Greeting() feed.Update {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	next := feed.Cursor{
+	return feed.Update{From: h.info, Peers: slices.Collect(maps.Values(h.peers)), Current: h.current}
+}
+
+// Position returns the cursor of a follower that has received everything.
+func (h *ControlHost) Position() feed.Cursor {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.position()
+}
+
+func (h *ControlHost) position() feed.Cursor {
+	return feed.Cursor{
 		Revision: h.catalog.Revision(), Version: h.version, Peers: h.peersRevision, Current: h.current, Started: true,
 		Suspects: h.suspects.revision,
 	}
+}
+
+// Next returns the update for a follower that has received everything up to the
+// cursor after, and the new cursor. It returns false if the follower is up to date.
+func (h *ControlHost) Next(to feed.HostInfo, after feed.Cursor) (feed.Update, feed.Cursor, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	next := h.position()
 	if next == after {
 		return feed.Update{}, after, false
 	}
@@ -35,15 +55,13 @@
 		u.Records = h.catalog.Since(after.Revision, to.Addr)
 	}
 	if next.Peers != after.Peers || !after.Started {
-		for _, p := range h.peers {
-			u.Peers = append(u.Peers, p)
-		}
+		u.Peers = slices.Collect(maps.Values(h.peers))
 	}
 	if to.Control { // control hosts get the document from the log, and place no flows
 		return u, next, true
 	}
 	if after.Started { // a new follower would treat earlier suspects as new
-		u.Suspects = h.suspects.since(after.Suspects, to.Addr)
+		u.Suspects = h.suspects.since(after.Suspects)
 	}
 	if next.Version != after.Version {
 		u.Document = h.documentForFollowers()
--- a/internal/fleet/controlhosts.go
+++ b/internal/fleet/controlhosts.go
@@ -29,16 +29,21 @@
 // controlHosts holds the control hosts that this host knows, and the connections
 // to those that it follows. It is safe for concurrent use.
 type controlHosts struct {
-	ctx  context.Context
-	self feed.HostInfo
-	via  map[string]string
-	sink feed.Sink
+	ctx    context.Context
+	self   feed.HostInfo
+	via    map[string]string
+	sink   feed.Sink
+	follow followFunc
+	wake   chan struct{} // has an element if there may be something to reconcile
 
 	mu    sync.Mutex
 	known map[string]*knownHost // by feed address
 	cold  bool                  // whether this host does not know enough to place flows yet
 }
 
+// followFunc opens a connection, as feed.Follow does.
+type followFunc func(context.Context, feed.Target, feed.HostInfo, feed.Sink) (*feed.Connection, error)
+
 // knownHost is a control host that this host knows.
 type knownHost struct {
 	addr        string
@@ -55,7 +60,9 @@
 }
 
 func newControlHosts(ctx context.Context, self feed.HostInfo, via map[string]string, sink feed.Sink) *controlHosts {
-	return &controlHosts{ctx: ctx, self: self, via: via, sink: sink, known: map[string]*knownHost{}}
+	return &controlHosts{
+		ctx: ctx, self: self, via: via, sink: sink, follow: feed.Follow, wake: make(chan struct{}, 1), known: map[string]*knownHost{},
+	}
 }
 
 // setWarm sets whether this host knows enough to place flows.
@@ -105,11 +112,22 @@
 	return h
 }
 
+// wakeUp causes another call of reconcile soon.
+func (c *controlHosts) wakeUp() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
 // recordUpdate records what a host sent about itself and its peers.
 func (c *controlHosts) recordUpdate(addr string, u feed.Update) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
+	if u.From.Addr != "" {
+		c.wakeUp() // it is a greeting, or its state has arrived
+	}
 	if h := c.getOrAdd(addr); h != nil {
 		h.lastHeardAt, h.current = now, u.Current
 		if u.From.Addr != "" {
@@ -135,8 +153,8 @@
 	c.recordHost(p, time.Now())
 }
 
-// reconcile connects to the selected hosts, and closes the connections to all
-// others.
+// reconcile connects to the selected hosts, closes the connections to all others,
+// and asks a connected host for its state if that is due.
 func (c *controlHosts) reconcile(choose func(known []*knownHost) map[string]bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -157,6 +175,26 @@
 			go c.connect(h, timeout, retryDelay)
 		}
 	}
+	if addr := nextSync(c.self.Zone, c.self.Name, c.candidates()); addr != "" {
+		c.known[addr].conn.Sync()
+	}
+}
+
+// candidates returns the known hosts as input of selectHosts and nextSync.
+func (c *controlHosts) candidates() []candidate {
+	var list []candidate
+	for _, h := range c.known {
+		list = append(list, h.candidate())
+	}
+	return list
+}
+
+func (h *knownHost) candidate() candidate {
+	x := candidate{addr: h.addr, zone: h.zone, current: h.current}
+	if h.conn != nil && h.info.Addr != "" {
+		x.connected, x.sync = true, h.conn.SyncState()
+	}
+	return x
 }
 
 // removeExpired removes hosts of which there was no news for removeAfter. It keeps
@@ -176,7 +214,8 @@
 	if !ok {
 		dialAddr = h.addr
 	}
-	conn, err := feed.Follow(c.ctx, h.addr, dialAddr, timeout, c.self, c.sink)
+	target := feed.Target{Addr: h.addr, DialAddr: dialAddr, Timeout: timeout, Deferred: !c.self.Control}
+	conn, err := c.follow(c.ctx, target, c.self, c.sink)
 	c.mu.Lock()
 	h.dialing = false
 	if err != nil {
@@ -187,12 +226,14 @@
 		return
 	}
 	h.conn, h.retryDelay, h.failures = conn, 0, 0
+	c.wakeUp()
 	c.mu.Unlock()
 	<-conn.Done()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	h.conn, h.current = nil, false
 	h.retryAt = time.Now().Add(redialDelay)
+	c.wakeUp()
 }
 
 // connected returns the connected hosts that have sent their HostInfo.
@@ -201,7 +242,7 @@
 	defer c.mu.Unlock()
 	var list []feed.HostInfo
 	for _, h := range c.known {
-		if h.conn != nil && h.info.Addr != "" {
+		if h.candidate().synced() {
 			list = append(list, h.info)
 		}
 	}
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -106,6 +106,7 @@
 		}
 		select {
 		case <-time.After(interval):
+		case <-h.controlHosts.wake:
 		case <-h.ctx.Done():
 			return
 		}
@@ -116,9 +117,7 @@
 func (h *EntryHost) selectControlHosts(known []*knownHost) map[string]bool {
 	var hosts []candidate
 	for _, k := range known {
-		hosts = append(hosts, candidate{
-			addr: k.addr, zone: k.zone, connected: k.conn != nil && k.info.Addr != "", current: k.current,
-		})
+		hosts = append(hosts, k.candidate())
 	}
 	return selectHosts(h.cfg.Zone, h.cfg.Name, hosts)
 }
@@ -142,7 +141,9 @@
 		return
 	}
 	for _, x := range u.Suspects {
-		h.steerer.AddSuspicion(h.now(), x.ID, x.Born)
+		if x.Reporter != h.cfg.feedAddr() { // a suspicion of its own is known already
+			h.steerer.AddSuspicion(h.now(), x.ID, x.Born)
+		}
 	}
 	changed := h.catalog.Merge(h.now(), addr, u.Records)
 	table := h.steerer.Table()
--- a/internal/fleet/selecthosts.go
+++ b/internal/fleet/selecthosts.go
@@ -1,17 +1,25 @@
 package fleet
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"greengagequay/internal/feed"
+)
 
 // candidate is a control host that an entry host may follow.
 type candidate struct {
 	addr      string
 	zone      string
-	connected bool // whether this entry host follows it now
-	current   bool // whether it reaches a quorum
+	connected bool           // whether there is a connection to it, and it has identified itself
+	current   bool           // whether it reaches a quorum
+	sync      feed.SyncState // if connected
 }
 
+// synced reports whether this entry host has its state and receives its updates.
+func (c candidate) synced() bool { return c.connected && c.sync == feed.Synced }
+
 // sufficient reports whether it is enough to follow this host alone.
-func (c candidate) sufficient() bool { return c.connected && c.current }
+func (c candidate) sufficient() bool { return c.synced() && c.current }
 
 // selectHosts returns the control hosts that an entry host follows: the preferred
 // one and, if that one is not sufficient, the preferred one of those that are. If
@@ -43,6 +51,34 @@
 	return selected
 }
 
+// nextSync returns the address of the host that should send its state next, or ""
+// if none should now. On a slow link the states of several hosts would delay each
+// other, so a host is only asked once no other one is sending.
+func nextSync(zone, self string, hosts []candidate) string {
+	next := candidate{}
+	for _, c := range hosts {
+		if c.connected && c.sync == feed.Syncing {
+			return ""
+		}
+		if !c.connected || c.sync != feed.NotRequested {
+			continue
+		}
+		if next.addr == "" || syncsBefore(zone, self, c, next) {
+			next = c
+		}
+	}
+	return next.addr
+}
+
+// syncsBefore reports whether a should send its state before b: hosts that reach a
+// quorum come first, then the preferred ones.
+func syncsBefore(zone, self string, a, b candidate) bool {
+	if a.current != b.current {
+		return a.current
+	}
+	return prefers(zone, self, a, b)
+}
+
 // prefers reports whether an entry host prefers a to b. Hosts of its own zone come
 // first. Otherwise a hash decides, so that entry hosts spread over control hosts.
 func prefers(zone, self string, a, b candidate) bool {
--- a/internal/fleet/selecthosts_test.go
+++ b/internal/fleet/selecthosts_test.go
@@ -7,13 +7,16 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"greengagequay/internal/feed"
 )
 
 func TestSelectHosts(t *testing.T) {
 	own := candidate{addr: "own", zone: "a"}
 	x, y := candidate{addr: "x", zone: "b"}, candidate{addr: "y", zone: "c"}
 	connected := func(c candidate) candidate { c.connected = true; return c }
-	sufficient := func(c candidate) candidate { c.connected, c.current = true, true; return c }
+	current := func(c candidate) candidate { c.connected, c.current = true, true; return c }
+	sufficient := func(c candidate) candidate { c.connected, c.current, c.sync = true, true, feed.Synced; return c }
 	tests := []struct {
 		name  string
 		hosts []candidate
@@ -22,6 +25,8 @@
 		{"none known", nil, ""},
 		{"none followed yet", []candidate{own, x, y}, "own x y"},
 		{"host of own zone suffices", []candidate{sufficient(own), sufficient(x), y}, "own"},
+		{"host of own zone has not sent its state", []candidate{current(own), sufficient(x), y}, "own x"},
+		{"no host has sent its state", []candidate{current(own), current(x), y}, "own x y"},
 		{"host of own zone is down", []candidate{own, sufficient(x), y}, "own x"},
 		{"host of own zone does not reach a quorum", []candidate{connected(own), sufficient(x), y}, "own x"},
 		{"no host reaches a quorum", []candidate{connected(own), connected(x), connected(y)}, "own x y"},
@@ -48,3 +53,29 @@
 	}
 	return self
 }
+
+func TestNextSync(t *testing.T) {
+	own := candidate{addr: "own", zone: "a", connected: true}
+	x := candidate{addr: "x", zone: "b", connected: true}
+	current := func(c candidate) candidate { c.current = true; return c }
+	sync := func(c candidate, s feed.SyncState) candidate { c.sync = s; return c }
+	tests := []struct {
+		name  string
+		hosts []candidate
+		want  string
+	}{
+		{"none known", nil, ""},
+		{"none connected", []candidate{{addr: "own", zone: "a"}}, ""},
+		{"own zone first", []candidate{x, own}, "own"},
+		{"a host with a quorum first", []candidate{own, current(x)}, "x"},
+		{"one is sending", []candidate{own, sync(x, feed.Syncing)}, ""},
+		{"one has stalled", []candidate{own, sync(x, feed.Stalled)}, "own"},
+		{"one has sent all", []candidate{sync(own, feed.Synced), x}, "x"},
+		{"all have sent all", []candidate{sync(own, feed.Synced), sync(x, feed.Synced)}, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			qt.Assert(t, nextSync("a", "e1", tt.hosts), qt.Equals, tt.want)
+		})
+	}
+}
--- a/internal/fleet/suspects.go
+++ b/internal/fleet/suspects.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "greengagequay/internal/feed"
+import (
+	"slices"
+
+	"greengagequay/internal/feed"
+)
 
 // maxSuspects is how many of the last reported suspects a control host keeps for
 // followers that have not received them yet. A follower that is further behind
@@ -11,35 +15,23 @@
 // hosts. It is not safe for concurrent use.
 type suspectLog struct {
 	revision uint64 // number of suspects reported so far
-	recent   []reportedSuspect
-}
-
-// reportedSuspect is a suspect and the entry host that reported it.
-type reportedSuspect struct {
-	feed.Suspect
-	reporter string // feed address of the entry host
+	recent   []feed.Suspect
 }
 
-// add adds suspects that one entry host reported.
+// add adds suspects that the entry host with the feed address reporter reported.
 func (l *suspectLog) add(reporter string, list []feed.Suspect) {
 	for _, s := range list {
+		s.Reporter = reporter
 		l.revision++
-		l.recent = append(l.recent, reportedSuspect{s, reporter})
+		l.recent = append(l.recent, s)
 	}
 	if extra := len(l.recent) - maxSuspects; extra > 0 {
 		l.recent = l.recent[extra:]
 	}
 }
 
-// since returns the suspects after a revision, except those whose reporter is
-// exclude.
-func (l *suspectLog) since(revision uint64, exclude string) []feed.Suspect {
+// since returns the suspects after a revision.
+func (l *suspectLog) since(revision uint64) []feed.Suspect {
 	fresh := min(int(l.revision-revision), len(l.recent))
-	var list []feed.Suspect
-	for _, s := range l.recent[len(l.recent)-fresh:] {
-		if s.reporter != exclude {
-			list = append(list, s.Suspect)
-		}
-	}
-	return list
+	return slices.Clone(l.recent[len(l.recent)-fresh:])
 }
