Take the state of the first control host that is reached without a request

A host that is reached while no other one is sending its state need not wait for Connection.Sync: one round trip and two frames less for each entry host that starts.

--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -28,13 +28,17 @@
 	Addr     string        // address by which hosts know it
 	DialAddr string        // address at which it is reached
 	Timeout  time.Duration // of the attempt to connect
-	Deferred bool          // whether it sends its state only after Connection.Sync
+	// Defer reports whether the host should send its state only after
+	// Connection.Sync. It is called once the host is reached. If it is nil, the
+	// state is not deferred.
+	Defer func() bool
 }
 
 // Connection is a connection that follows one control host. It ends on Close, on
 // an error, or if the host sends nothing for readTimeout. It is not opened again.
 type Connection struct {
-	target    Target
+	addr      string
+	deferred  bool
 	conn      *timedConn
 	cancel    context.CancelFunc
 	done      chan struct{}
@@ -58,9 +62,10 @@
 // FollowConn is Follow on a connection that is already open.
 func FollowConn(ctx context.Context, conn net.Conn, to Target, self HostInfo, sink Sink) (*Connection, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	c := &Connection{target: to, conn: newTimedConn(conn), cancel: cancel, done: make(chan struct{})}
-	c.requested.Store(!to.Deferred)
-	if !send(c.conn, Hello{From: self, Compressed: !self.Control, Deferred: to.Deferred}, false) {
+	deferred := to.Defer != nil && to.Defer()
+	c := &Connection{addr: to.Addr, deferred: deferred, conn: newTimedConn(conn), cancel: cancel, done: make(chan struct{})}
+	c.requested.Store(!deferred)
+	if !send(c.conn, Hello{From: self, Compressed: !self.Control, Deferred: deferred}, false) {
 		cancel()
 		_ = conn.Close()
 		return nil, net.ErrClosed
@@ -145,13 +150,13 @@
 		if err := readFrame(in, &u); err != nil {
 			break
 		}
-		if !c.synced.Load() && (!c.target.Deferred || u.hasState()) {
+		if !c.synced.Load() && (!c.deferred || u.hasState()) {
 			c.synced.Store(true)
-			sink.ConnectionChanged(c.target.Addr, true)
+			sink.ConnectionChanged(c.addr, true)
 		}
-		sink.Updated(c.target.Addr, u)
+		sink.Updated(c.addr, u)
 	}
 	if c.synced.Load() {
-		sink.ConnectionChanged(c.target.Addr, false)
+		sink.ConnectionChanged(c.addr, false)
 	}
 }
--- a/internal/feed/slowlink_test.go
+++ b/internal/feed/slowlink_test.go
@@ -26,7 +26,7 @@
 	received := &sink{connected: make(chan bool, 8), updates: make(chan Update, 100)}
 	conn, err := link.Dial(listener)
 	qt.Assert(t, err, qt.IsNil)
-	c, err := FollowConn(t.Context(), conn, Target{Addr: "c1", Deferred: deferred}, self, received)
+	c, err := FollowConn(t.Context(), conn, Target{Addr: "c1", Defer: func() bool { return deferred }}, self, received)
 	qt.Assert(t, err, qt.IsNil)
 	return c, received
 }
--- a/internal/fleet/controlhosts.go
+++ b/internal/fleet/controlhosts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -53,6 +54,7 @@
 	current     bool // whether it reached a quorum at its last update
 	conn        *feed.Connection
 	dialing     bool
+	claimed     bool          // whether it is dialed and will send its state at once
 	retryDelay  time.Duration // from the last failed attempt to the next one
 	failures    int           // failed attempts to connect in a row
 	retryAt     time.Time
@@ -191,8 +193,11 @@
 
 func (h *knownHost) candidate() candidate {
 	x := candidate{addr: h.addr, zone: h.zone, current: h.current}
-	if h.conn != nil && h.info.Addr != "" {
-		x.connected, x.sync = true, h.conn.SyncState()
+	switch {
+	case h.conn != nil:
+		x.connected, x.sync = h.info.Addr != "", h.conn.SyncState()
+	case h.claimed:
+		x.sync = feed.Syncing
 	}
 	return x
 }
@@ -208,16 +213,31 @@
 	}
 }
 
+// claimSync reports whether a host that was just reached should send its state at
+// once, since no other one is sending.
+func (c *controlHosts) claimSync(h *knownHost) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if slices.ContainsFunc(c.candidates(), candidate.sending) {
+		return false
+	}
+	h.claimed = true
+	return true
+}
+
 // connect connects to a host and waits until the connection ends.
 func (c *controlHosts) connect(h *knownHost, timeout, retryDelay time.Duration) {
 	dialAddr, ok := c.via[h.addr]
 	if !ok {
 		dialAddr = h.addr
 	}
-	target := feed.Target{Addr: h.addr, DialAddr: dialAddr, Timeout: timeout, Deferred: !c.self.Control}
+	target := feed.Target{Addr: h.addr, DialAddr: dialAddr, Timeout: timeout}
+	if !c.self.Control { // links between control hosts carry several states at once
+		target.Defer = func() bool { return !c.claimSync(h) }
+	}
 	conn, err := c.follow(c.ctx, target, c.self, c.sink)
 	c.mu.Lock()
-	h.dialing = false
+	h.dialing, h.claimed = false, false
 	if err != nil {
 		h.retryDelay = retryDelay
 		h.failures++
--- a/internal/fleet/selecthosts.go
+++ b/internal/fleet/selecthosts.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 
 	"greengagequay/internal/feed"
@@ -10,14 +12,17 @@
 type candidate struct {
 	addr      string
 	zone      string
-	connected bool           // whether there is a connection to it, and it has identified itself
-	current   bool           // whether it reaches a quorum
-	sync      feed.SyncState // if connected
+	connected bool // whether there is a connection to it, and it has identified itself
+	current   bool // whether it reaches a quorum
+	sync      feed.SyncState
 }
 
 // synced reports whether this entry host has its state and receives its updates.
 func (c candidate) synced() bool { return c.connected && c.sync == feed.Synced }
 
+// sending reports whether the host is sending its state.
+func (c candidate) sending() bool { return c.sync == feed.Syncing }
+
 // sufficient reports whether it is enough to follow this host alone.
 func (c candidate) sufficient() bool { return c.synced() && c.current }
 
@@ -55,11 +60,11 @@
 // if none should now. On a slow link the states of several hosts would delay each
 // other, so a host is only asked once no other one is sending.
 func nextSync(zone, self string, hosts []candidate) string {
+	if slices.ContainsFunc(hosts, candidate.sending) {
+		return ""
+	}
 	next := candidate{}
 	for _, c := range hosts {
-		if c.connected && c.sync == feed.Syncing {
-			return ""
-		}
 		if !c.connected || c.sync != feed.NotRequested {
 			continue
 		}
--- a/internal/fleet/selecthosts_test.go
+++ b/internal/fleet/selecthosts_test.go
@@ -69,6 +69,7 @@
 		{"own zone first", []candidate{x, own}, "own"},
 		{"a host with a quorum first", []candidate{own, current(x)}, "x"},
 		{"one is sending", []candidate{own, sync(x, feed.Syncing)}, ""},
+		{"one will send at once", []candidate{own, {addr: "y", zone: "c", sync: feed.Syncing}}, ""},
 		{"one has stalled", []candidate{own, sync(x, feed.Stalled)}, "own"},
 		{"one has sent all", []candidate{sync(own, feed.Synced), x}, "x"},
 		{"all have sent all", []candidate{sync(own, feed.Synced), sync(x, feed.Synced)}, ""},
