Send changed documents as deltas, without what entry hosts do not use

Cause: each change of the document was sent whole to every entry host.

Ruled out for the time from a control host's start to an entry host's table: processor time (--no-cpu: 125 ms from start to first table, as with it), dialing (followers connect 3 ms after the start).

Change: entry hosts get the address, targets and target latency of each route; a control host keeps the last 8 versions and sends what changed since the one that the follower has from it; a delta that does not fit leads to a new connection.

--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -35,7 +35,7 @@
 	return Cursor{Revision: s.revision, Started: true}
 }
 
-func (s *source) Next(_ HostInfo, after Cursor) (Update, Cursor, bool) {
+func (s *source) Next(_ Hello, after Cursor) (Update, Cursor, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.encoded++
--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -65,7 +65,7 @@
 	deferred := to.Defer != nil && to.Defer()
 	c := &Connection{addr: to.Addr, deferred: deferred, conn: newTimedConn(conn), cancel: cancel, done: make(chan struct{})}
 	c.requested.Store(!deferred)
-	if !send(c.conn, Hello{From: self, Compressed: !self.Control, Deferred: deferred}, false) {
+	if !send(c.conn, Hello{From: self, Compressed: !self.Control, Deltas: true, Deferred: deferred}, false) {
 		cancel()
 		_ = conn.Close()
 		return nil, net.ErrClosed
--- a/internal/feed/frame.go
+++ b/internal/feed/frame.go
@@ -50,6 +50,7 @@
 type Hello struct {
 	From       HostInfo
 	Compressed bool // whether large frames are to be compressed, as for an entry host on a slow link
+	Deltas     bool // whether the follower applies Update.Delta
 	Deferred   bool // whether the server sends no state until the follower asks for it with Report.Sync
 }
 
@@ -73,7 +74,8 @@
 	Peers    []HostInfo         // control hosts that the sender follows, in the first update and when they change
 	Current  bool               // whether the sender reaches a quorum
 	Synced   bool               // whether the follower has received the sender's state with this update or before
-	Document *document.Document // to entry hosts: a document that the follower lacks, without its source
+	Document *document.Document // to entry hosts: a document that the follower lacks, with what entry hosts use
+	Delta    *document.Delta    // to entry hosts, in place of Document: what changed since the last one on this connection
 	Records  []catalog.Record   // records of backend servers that changed since the last update
 	Suspects []Suspect          // to entry hosts: suspects that entry hosts reported since the last update
 }
--- a/internal/feed/framecache.go
+++ b/internal/feed/framecache.go
@@ -9,6 +9,7 @@
 type frameKey struct {
 	after, next Cursor
 	compressed  bool
+	deltas      bool
 }
 
 // frameCache holds the frames that were encoded last, since after a change, or
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -28,7 +28,7 @@
 	// Next returns the update for a follower that has received everything up to
 	// the cursor after, and the new cursor. It returns false if the follower is up
 	// to date.
-	Next(to HostInfo, after Cursor) (Update, Cursor, bool)
+	Next(to Hello, after Cursor) (Update, Cursor, bool)
 	// Changed returns a channel that is closed at the next change for
 	// followers.
 	Changed() <-chan struct{}
@@ -196,14 +196,14 @@
 	case to.From.Control:
 		return s.encodeNext(to, after)
 	}
-	key := frameKey{after: after, next: position, compressed: to.Compressed}
+	key := frameKey{after: after, next: position, compressed: to.Compressed, deltas: to.Deltas}
 	return s.frames.get(key, func() ([]byte, Cursor) { return s.encodeNext(to, after) })
 }
 
 // encodeNext encodes the next update for a follower. It returns nil if the
 // follower is up to date.
 func (s *Server) encodeNext(to Hello, after Cursor) ([]byte, Cursor) {
-	u, next, ok := s.source.Next(to.From, after)
+	u, next, ok := s.source.Next(to, after)
 	if !ok {
 		return nil, after
 	}
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -58,8 +58,9 @@
 	catalog          *catalog.Catalog
 	peers            map[string]feed.HostInfo // control hosts that this host follows, by feed address
 	peersRevision    uint64
-	current          bool                      // whether this host reached a quorum at the last tick
-	version          uint64                    // version of the document in force
+	current          bool   // whether this host reached a quorum at the last tick
+	version          uint64 // version of the document in force
+	documents        recentDocuments
 	lastConnectedAt  map[raft.ID]time.Duration // when each control host was last connected, or first known as a member
 	changeInProgress bool                      // whether a membership change is in progress
 	suspects         suspectLog
@@ -153,16 +154,20 @@
 	return err.Error()
 }
 
+// document returns the document in the replica, or nil if there is none.
+func (h *ControlHost) document() *document.Document {
+	var d *document.Document
+	h.replica.Read(func(s *state.State) { d = s.Document })
+	return d
+}
+
 // documentVersion returns the version of the document in the replica, or 0 if it
 // has none.
 func (h *ControlHost) documentVersion() uint64 {
-	version := uint64(0)
-	h.replica.Read(func(s *state.State) {
-		if s.Document != nil {
-			version = s.Document.Version
-		}
-	})
-	return version
+	if d := h.document(); d != nil {
+		return d.Version
+	}
+	return 0
 }
 
 // Get returns the newest document. It fails if this host cannot prove which one is
@@ -174,8 +179,7 @@
 		h.log.Event("read", "could not prove which document is the newest", eventlog.Fields{"error": err.Error()})
 		return nil, err
 	}
-	var d *document.Document
-	h.replica.Read(func(s *state.State) { d = s.Document })
+	d := h.document()
 	if d == nil {
 		return nil, fault.New(fault.NotCurrent, "send a document first", "there is no document yet")
 	}
--- a/internal/fleet/controlfeed.go
+++ b/internal/fleet/controlfeed.go
@@ -9,7 +9,6 @@
 	"greengagequay/internal/document"
 	"greengagequay/internal/eventlog"
 	"greengagequay/internal/feed"
-	"greengagequay/internal/state"
 )
 
 var (
@@ -40,7 +39,7 @@
 
 // Next returns the update for a follower that has received everything up to the
 // cursor after, and the new cursor. It returns false if the follower is up to date.
-func (h *ControlHost) Next(to feed.HostInfo, after feed.Cursor) (feed.Update, feed.Cursor, bool) {
+func (h *ControlHost) Next(to feed.Hello, after feed.Cursor) (feed.Update, feed.Cursor, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	next := h.position()
@@ -52,37 +51,23 @@
 		u.From = h.info
 	}
 	if next.Revision != after.Revision {
-		u.Records = h.catalog.Since(after.Revision, to.Addr)
+		u.Records = h.catalog.Since(after.Revision, to.From.Addr)
 	}
 	if next.Peers != after.Peers || !after.Started {
 		u.Peers = slices.Collect(maps.Values(h.peers))
 	}
-	if to.Control { // control hosts get the document from the log, and place no flows
+	if to.From.Control { // control hosts get the document from the log, and place no flows
 		return u, next, true
 	}
 	if after.Started { // a new follower would treat earlier suspects as new
 		u.Suspects = h.suspects.since(after.Suspects)
 	}
 	if next.Version != after.Version {
-		u.Document = h.documentForFollowers()
+		u.Document, u.Delta = h.documents.next(after.Version, to.Deltas)
 	}
 	return u, next, true
 }
 
-// documentForFollowers returns the document without its source, which followers
-// do not need, or nil if there is no document.
-func (h *ControlHost) documentForFollowers() *document.Document {
-	var d *document.Document
-	h.replica.Read(func(s *state.State) {
-		if s.Document != nil {
-			shortened := *s.Document
-			shortened.Source = nil
-			d = &shortened
-		}
-	})
-	return d
-}
-
 // Changed returns a channel that is closed at the next change for followers.
 func (h *ControlHost) Changed() <-chan struct{} { return h.changes.next() }
 
@@ -139,13 +124,8 @@
 func (h *ControlHost) watchReplica() {
 	for {
 		changed := h.replica.Changed()
-		version := h.documentVersion()
-		h.mu.Lock()
-		isNew := version != h.version
-		h.version = version
-		h.mu.Unlock()
-		if isNew {
-			h.log.Event("version", "a new document is in force", eventlog.Fields{"version": version})
+		if d := h.document(); d != nil && h.setDocument(d) {
+			h.log.Event("version", "a new document is in force", eventlog.Fields{"version": d.Version})
 			h.changes.notify()
 		}
 		select {
@@ -156,6 +136,19 @@
 	}
 }
 
+// setDocument makes a document available to followers. It returns false if it is
+// the current one.
+func (h *ControlHost) setDocument(d *document.Document) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if d.Version == h.version {
+		return false
+	}
+	h.version = d.Version
+	h.documents.add(d.ForFollowers())
+	return true
+}
+
 // loop does the periodic work until the host stops.
 func (h *ControlHost) loop() {
 	ticker := time.NewTicker(controlTick)
--- a/internal/fleet/controlhosts.go
+++ b/internal/fleet/controlhosts.go
@@ -256,6 +256,16 @@
 	c.wakeUp()
 }
 
+// disconnect closes the connection to a host. It is opened again if the host is
+// still selected.
+func (c *controlHosts) disconnect(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if h := c.known[addr]; h != nil && h.conn != nil {
+		h.conn.Close()
+	}
+}
+
 // connected returns the connected hosts that have sent their HostInfo.
 func (c *controlHosts) connected() []feed.HostInfo {
 	c.mu.Lock()
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"greengagequay/internal/catalog"
+	"greengagequay/internal/document"
 	"greengagequay/internal/eventlog"
 	"greengagequay/internal/feed"
 	"greengagequay/internal/metrics"
@@ -41,7 +42,8 @@
 	mu           sync.Mutex // guards the following
 	steerer      *steering.Steerer
 	catalog      *catalog.Catalog
-	lastUpdateAt time.Duration // when the last update from a followed control host arrived
+	documents    map[string]*document.Document // the last document of each followed control host, by its address
+	lastUpdateAt time.Duration                 // when the last update from a followed control host arrived
 	leaving      bool
 }
 
@@ -50,6 +52,7 @@
 	h := &EntryHost{
 		cfg: cfg, log: log, metrics: metrics.New(), format: a.Packets(), started: time.Now(), ctx: ctx, cancel: cancel,
 		steerer: steering.New(steering.Config{Zone: cfg.Zone, DrainFallback: cfg.drainFallback()}), catalog: catalog.New(catalog.Config{Interval: cfg.Heartbeat()}),
+		documents: map[string]*document.Document{},
 	}
 	h.counts = newPacketCounts(h.metrics)
 	h.controlHosts = newControlHosts(ctx, feed.HostInfo{Name: cfg.Name, Zone: cfg.Zone, Addr: cfg.feedAddr()}, cfg.Via, h)
@@ -127,6 +130,9 @@
 func (h *EntryHost) ConnectionChanged(addr string, connected bool) {
 	h.mu.Lock()
 	h.catalog.SetConnected(h.now(), addr, connected)
+	if !connected {
+		delete(h.documents, addr)
+	}
 	h.mu.Unlock()
 	h.log.Event("peer", "a followed control host connected or disconnected", eventlog.Fields{"address": addr, "connected": connected})
 }
@@ -137,20 +143,18 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.lastUpdateAt = h.now()
-	if u.Document == nil && len(u.Records) == 0 && len(u.Suspects) == 0 {
-		return
-	}
 	for _, x := range u.Suspects {
 		if x.Reporter != h.cfg.feedAddr() { // a suspicion of its own is known already
 			h.steerer.AddSuspicion(h.now(), x.ID, x.Born)
 		}
 	}
 	changed := h.catalog.Merge(h.now(), addr, u.Records)
+	d := h.receiveDocument(addr, u)
 	table := h.steerer.Table()
 	switch {
-	case u.Document != nil && u.Document.Version > table.Version:
-		table = steering.Build(u.Document, h.catalog.Since(0, ""))
-		h.log.Event("version", "a new document is in force", eventlog.Fields{"version": u.Document.Version, "from": addr})
+	case d != nil && d.Version > table.Version:
+		table = steering.Build(d, h.catalog.Since(0, ""))
+		h.log.Event("version", "a new document is in force", eventlog.Fields{"version": d.Version, "from": addr})
 	case changed:
 		table = table.WithServers(h.catalog.Since(0, ""))
 	default:
@@ -160,6 +164,29 @@
 	h.logBackends(addr, u.Records)
 }
 
+// receiveDocument returns the document that an update of a control host leads to,
+// or nil if the update has none. A delta applies to the last document of the same
+// control host; if it does not fit, the host is connected to anew and sends the
+// whole document.
+func (h *EntryHost) receiveDocument(addr string, u feed.Update) *document.Document {
+	d := u.Document
+	if u.Delta != nil {
+		base, ok := h.documents[addr]
+		if ok {
+			d, ok = base.Apply(u.Delta)
+		}
+		if !ok {
+			h.log.Event("peer", "a delta does not fit the last document; connecting again", eventlog.Fields{"address": addr, "from": u.Delta.From})
+			h.controlHosts.disconnect(addr)
+			return nil
+		}
+	}
+	if d != nil {
+		h.documents[addr] = d
+	}
+	return d
+}
+
 // logBackends logs received records of backend servers.
 func (h *EntryHost) logBackends(from string, records []catalog.Record) {
 	for _, r := range records {
--- a/internal/fleet/slowlink_test.go
+++ b/internal/fleet/slowlink_test.go
@@ -32,7 +32,7 @@
 
 func (c *controlStandin) Position() feed.Cursor { return standinPosition }
 
-func (c *controlStandin) Next(feed.HostInfo, feed.Cursor) (feed.Update, feed.Cursor, bool) {
+func (c *controlStandin) Next(feed.Hello, feed.Cursor) (feed.Update, feed.Cursor, bool) {
 	return feed.Update{From: c.info, Records: c.records, Document: &document.Document{Version: 1}}, standinPosition, true
 }
 
