--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -16,8 +16,8 @@
 	"greengagequay/internal/logs"
 )
 
-// startHost starts a host that is both entry host and control host, and returns
-// its API address.
+// startHost starts a host that is both entry host and control host, waits until it
+// has a state, and returns its API address.
 func startHost(t *testing.T) string {
 	const any = "127.0.0.1:0"
 	b, err := daemon.Bind(config.Config{
@@ -30,7 +30,13 @@
 	d, err := daemon.Start(b, logs.Discard(), clock.Real{})
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(d.Kill)
-	return d.Config.API
+	for {
+		changed := d.Replica.Changed()
+		if d.Replica.Revision() > 0 {
+			return d.Config.API
+		}
+		<-changed
+	}
 }
 
 // quayctl runs a command and returns its exit code and output.
--- a/internal/daemon/control_test.go
+++ b/internal/daemon/control_test.go
@@ -15,6 +15,7 @@
 	"greengagequay/internal/control"
 	"greengagequay/internal/fault"
 	"greengagequay/internal/logs"
+	"greengagequay/internal/loopback"
 	"greengagequay/internal/settings"
 	"greengagequay/internal/state"
 )
@@ -27,7 +28,7 @@
 }
 
 func startControlCluster(c *qt.C) *controlCluster {
-	const anyPort = "127.0.0.1:0"
+	anyPort := loopback.AnyPort()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	c.Cleanup(cancel)
 	t := &controlCluster{c: c, ctx: ctx}
--- a/internal/filter/deadline/deadline.go
+++ b/internal/filter/deadline/deadline.go
@@ -14,10 +14,13 @@
 	"greengagequay/internal/state"
 )
 
-// writeGrace is how long after the deadline the answer may still be written to the
-// caller. It does not limit the error that reports the deadline, which is written
-// after Handle has removed the write deadline.
-const writeGrace = time.Second
+// connectionGrace is how long after the deadline the caller's connection may still
+// be read and written. The answer may be ready just before the deadline. A read
+// that fails ends the request's context as if the caller had cancelled, so it must
+// not fail before the context ends by the deadline. The grace does not limit the
+// error that reports the deadline, which is written after Handle has removed the
+// write deadline.
+const connectionGrace = time.Second
 
 type Filter struct {
 	Replica    *replica.Replica
@@ -37,8 +40,8 @@
 	r.Deadline = f.Clock.Now().Add(timeout)
 	control := http.NewResponseController(r.Writer)
 	// The connection of a caller that sends or reads too slowly is closed.
-	_ = control.SetReadDeadline(r.Deadline)
-	_ = control.SetWriteDeadline(r.Deadline.Add(writeGrace))
+	_ = control.SetReadDeadline(r.Deadline.Add(connectionGrace))
+	_ = control.SetWriteDeadline(r.Deadline.Add(connectionGrace))
 	defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
 	ctx, cancel := context.WithTimeout(r.HTTP.Context(), timeout)
 	defer cancel()
--- a/internal/filter/once/once.go
+++ b/internal/filter/once/once.go
@@ -51,7 +51,7 @@
 
 // refusal returns the error for a request that may not run. This attempt has not
 // run. An earlier attempt may have run if the kind is OutcomeUnknown,
-// StillRunning or NotRun.
+// StillRunning or Unavailable.
 func refusal(key string, d idempotency.Decision) error {
 	switch d.Verdict {
 	case idempotency.Running:
@@ -63,7 +63,8 @@
 	case idempotency.Busy:
 		return fault.New(fault.Limited, "retry the request later", "too many request keys are stored")
 	}
-	return fault.New(fault.NotRun, "retry the request, if necessary through another availability zone", "the records of key %q cannot be reached", key)
+	return fault.New(fault.Unavailable, "retry the request with the same key, if necessary through another availability zone",
+		"the records of key %q cannot be reached: this attempt has not run, but an earlier one may have", key)
 }
 
 // run runs the request and records its outcome.
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -85,8 +85,8 @@
 	if _, err := netip.ParseAddr(c.IP); err != nil {
 		return fault.New(fault.Invalid, settingsRemedy, "field \"ip\": %w", err)
 	}
-	if len(c.Internal) == 0 || c.Internal[0] <= 0 || c.Internal[0] > 65535 {
-		return fault.New(fault.Invalid, settingsRemedy, "field \"internal\" does not begin with a port from 1 to 65535")
+	if len(c.Internal) == 0 || c.Internal[0] <= 0 || c.Internal[0] > maxInternalPort {
+		return fault.New(fault.Invalid, settingsRemedy, "field \"internal\" does not begin with a port from 1 to %d; the next port is used too", maxInternalPort)
 	}
 	needed := map[string]string{"metrics": c.Metrics}
 	switch c.Role {
@@ -126,8 +126,9 @@
 
 // Offsets of ports from the first internal port.
 const (
-	feedPortOffset = 0
-	logPortOffset  = 1
+	feedPortOffset  = 0
+	logPortOffset   = 1
+	maxInternalPort = 65535 - logPortOffset
 )
 
 // feedAddrOf returns the address of the feed of the host with the given IP
--- a/internal/fleet/controlhosts.go
+++ b/internal/fleet/controlhosts.go
@@ -58,7 +58,8 @@
 	retryDelay  time.Duration // from the last failed attempt to the next one
 	failures    int           // failed attempts to connect in a row
 	retryAt     time.Time
-	lastHeardAt time.Time // when it was added, last sent an update, last connected to follow this host, or was last a peer in another host's update
+	peers       []string  // feed addresses of the control hosts that it follows, as it sent them last
+	lastHeardAt time.Time // when it was added, last sent an update, last connected to follow this host, or was last a peer of a connected host
 }
 
 func newControlHosts(ctx context.Context, self feed.HostInfo, via map[string]string, sink feed.Sink) *controlHosts {
@@ -136,8 +137,16 @@
 			h.info, h.zone = u.From, u.From.Zone
 		}
 	}
+	if len(u.Peers) == 0 {
+		return // they have not changed, or there are none
+	}
+	var peers []string
 	for _, p := range u.Peers {
 		c.recordHost(p, now)
+		peers = append(peers, p.Addr)
+	}
+	if h := c.known[addr]; h != nil {
+		h.peers = peers
 	}
 }
 
@@ -203,9 +212,15 @@
 }
 
 // removeExpired removes hosts of which there was no news for removeAfter. It keeps
-// seeds and hosts that are connected or being dialed.
+// seeds and hosts that are connected, being dialed, or peers of a connected host:
+// hosts send their peers only when these change.
 func (c *controlHosts) removeExpired() {
 	now := time.Now()
+	for _, h := range c.known {
+		if h.conn != nil {
+			c.renewPeers(h, now)
+		}
+	}
 	for addr, h := range c.known {
 		if h.conn == nil && !h.dialing && !h.seed && now.Sub(h.lastHeardAt) > removeAfter {
 			delete(c.known, addr)
@@ -225,6 +240,15 @@
 	return true
 }
 
+// renewPeers records that the peers of a connected host are alive.
+func (c *controlHosts) renewPeers(h *knownHost, now time.Time) {
+	for _, addr := range h.peers {
+		if peer := c.known[addr]; peer != nil {
+			peer.lastHeardAt = now
+		}
+	}
+}
+
 // connect connects to a host and waits until the connection ends.
 func (c *controlHosts) connect(h *knownHost, timeout, retryDelay time.Duration) {
 	dialAddr, ok := c.via[h.addr]
--- a/internal/fleet/hint.go
+++ b/internal/fleet/hint.go
@@ -23,9 +23,10 @@
 // Without a readable hint file, hosts wait for the announcements.
 type hintFile struct {
 	disk     wal.Disk
-	revision uint64
+	revision uint64 // of the catalog at the last write that was started
 	savedAt  time.Time
 	writing  atomic.Bool
+	failed   atomic.Bool // whether the last write failed
 	onError  func(error) // called for each write that failed
 }
 
@@ -33,9 +34,11 @@
 	return &hintFile{disk: disk, onError: onError}
 }
 
-// due reports whether a catalog of the given revision should be saved now.
+// due reports whether a catalog of the given revision should be saved now: it has
+// changed since the last write, or that write failed.
 func (f *hintFile) due(revision uint64) bool {
-	return revision != f.revision && time.Since(f.savedAt) >= minHintInterval && !f.writing.Load()
+	outdated := revision != f.revision || f.failed.Load()
+	return outdated && time.Since(f.savedAt) >= minHintInterval && !f.writing.Load()
 }
 
 // save writes the records in a separate goroutine, since the disk may hang.
@@ -44,7 +47,9 @@
 	f.writing.Store(true)
 	go func() {
 		defer f.writing.Store(false)
-		if err := f.write(records); err != nil {
+		err := f.write(records)
+		f.failed.Store(err != nil)
+		if err != nil {
 			f.onError(err)
 		}
 	}()
