Hold the first election soon after a start where no lease can be at stake

Cause: a voter that starts waits a whole election timeout (1 to 2 s) for a leader, also when all voters have just lost power and none can exist. Until then no document is accepted, no read answered, and entry hosts follow all control hosts.

Ruled out: a risk to a working leader (a pre-vote precedes each election, and voters that hear from a leader refuse it) and to leases (members that use them wait as before).

Change: with quorum reads the first timeout after a start is a quarter.

--- a/internal/raft/cluster_test.go
+++ b/internal/raft/cluster_test.go
@@ -57,6 +57,7 @@
 	trace       func(Message)
 	reads       map[uint64]uint64 // index of each answered read, by request
 	compactLogs bool
+	quorumReads bool // for members that start from now on
 }
 
 func newCluster(tb testing.TB, seed uint64, voters int) *cluster {
@@ -82,7 +83,7 @@
 func memberName(id ID) string { return fmt.Sprintf("host-%d", id) }
 
 func (c *cluster) startMember(id ID, d *testDisk) {
-	cfg := Config{ID: id, ElectionTimeout: testElectionTimeout, HeartbeatInterval: testHeartbeat, Rand: c.rand}
+	cfg := Config{ID: id, ElectionTimeout: testElectionTimeout, HeartbeatInterval: testHeartbeat, Rand: c.rand, QuorumReads: c.quorumReads}
 	n, err := New(cfg, Restored{HardState: d.hardState, Snapshot: d.snapshot, Entries: slices.Clone(d.entries)}, c.now)
 	if err != nil {
 		c.tb.Fatal(err)
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -83,6 +83,12 @@
 	readStates       []ReadState
 }
 
+// firstElectionDivisor sets how much sooner a member campaigns that has just
+// started and on which no lease can rely. After all members have lost power there
+// is no leader to wait for, and a leader that does work is not deposed by a
+// pre-vote.
+const firstElectionDivisor = 4
+
 // New returns a member that resumes from its persisted state.
 func New(cfg Config, r Restored, now time.Duration) (*Node, error) {
 	n := &Node{cfg: cfg, now: now, term: r.HardState.Term, vote: r.HardState.Vote, persisted: r.HardState}
@@ -99,11 +105,12 @@
 	// leader's lease relies on the answer, so this member must not vote before
 	// the lease has expired.
 	n.leaderContactAt = now
+	n.resetElection()
 	if n.term == 0 || cfg.QuorumReads {
 		n.leaderContactAt = now - cfg.ElectionTimeout // no lease can rely on this member
+		n.timeout /= firstElectionDivisor
 	}
 	n.quorumAge = cfg.ElectionTimeout
-	n.resetElection()
 	return n, nil
 }
 
