Fail the readiness check of an entry host without news of control hosts

Ruled out: more suspicion (those hosts already avoid a backend server for 1.5 to 4 s after an unanswered opening packet, and see few of them).

Change: setting staleMs, 0 (never) by default. The host forwards what still reaches it, and logs each change as a readiness line.

--- a/internal/feed/frame.go
+++ b/internal/feed/frame.go
@@ -80,6 +80,10 @@
 	Suspects []Suspect          // to entry hosts: suspects that entry hosts reported since the last update
 }
 
+// IsGreeting reports whether the update only identifies the sender, which has not
+// sent its state.
+func (u *Update) IsGreeting() bool { return u.From.Addr != "" && !u.hasState() }
+
 // hasState reports whether the update, or one before it, held the state. Servers
 // of versions that cannot defer do not set Synced.
 func (u *Update) hasState() bool {
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -44,6 +44,7 @@
 	HeartbeatMs  int      `json:"heartbeatMs"`  // interval between announcements of a backend server
 	TolerateLoss int      `json:"tolerateLoss"` // on control hosts: number of control hosts that may be lost at once
 	DrainMs      int      `json:"drainMs"`      // on entry hosts: how long a backend server keeps running after it announced that it drains
+	StaleMs      int      `json:"staleMs"`      // on entry hosts: time without news of control hosts after which the readiness check fails; 0 for never
 	LinkMbps     float64  `json:"linkMbps"`     // on entry hosts: rate of the host's link in Mbit/s; 0 if it is never a bottleneck
 	// Via maps internal IP:port addresses of hosts to the addresses at which this
 	// host reaches them. Hosts without an entry are reached at their own address.
@@ -113,6 +114,9 @@
 	if c.HeartbeatMs <= 0 {
 		return fault.New(fault.Invalid, settingsRemedy, "field \"heartbeatMs\" is %d, not above 0", c.HeartbeatMs)
 	}
+	if c.StaleMs < 0 {
+		return fault.New(fault.Invalid, settingsRemedy, "field \"staleMs\" is %d, below 0", c.StaleMs)
+	}
 	if c.TolerateLoss < 0 {
 		return fault.New(fault.Invalid, settingsRemedy, "field \"tolerateLoss\" is %d, below 0", c.TolerateLoss)
 	}
--- a/internal/fleet/config_test.go
+++ b/internal/fleet/config_test.go
@@ -39,6 +39,7 @@
 		{"bad address", `"10.0.0.1:1"`, `"10.0.0.1"`, `.*"packets".*`},
 		{"bad seed", `["10.0.0.9:80"]`, `["x"]`, `.*"seeds", item 0.*`},
 		{"no internal port", `[7000, 7010]`, `[]`, `.*"internal".*`},
+		{"negative staleMs", `"drainMs": 3000`, `"staleMs": -1`, `.*"staleMs" is -1.*`},
 		{"no port after the first one", `[7000, 7010]`, `[65535]`, `.*"internal".*next port.*`},
 		{"port out of range", `[7000, 7010]`, `[70000]`, `.*"internal".*`},
 		{"no heartbeat", `"heartbeatMs": 1000`, `"heartbeatMs": 0`, `.*"heartbeatMs" is 0.*`},
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -89,12 +89,33 @@
 func (h *EntryHost) ready() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return !h.leaving && h.steerer.Table().Ready()
+	return !h.leaving && h.steerer.Table().Ready() && !h.isStale()
+}
+
+// isStale reports whether the host has had no news of control hosts for so long
+// that other entry hosts probably know more.
+func (h *EntryHost) isStale() bool {
+	limit := time.Duration(h.cfg.StaleMs) * time.Millisecond
+	return limit > 0 && h.now()-h.lastUpdateAt > limit
+}
+
+// logReadiness logs a change of ready.
+func (h *EntryHost) logReadiness(was bool) (is bool) {
+	is = h.ready()
+	if is != was {
+		h.mu.Lock()
+		age := h.now() - h.lastUpdateAt
+		h.mu.Unlock()
+		h.log.Event("readiness", "the answer of the readiness check changed", eventlog.Fields{"ready": is, "feed_age_ms": age.Milliseconds()})
+	}
+	return is
 }
 
 // loop does the periodic work until the host stops.
 func (h *EntryHost) loop() {
+	ready := false
 	for {
+		ready = h.logReadiness(ready)
 		h.mu.Lock()
 		h.steerer.Expire(h.now())
 		h.catalog.RemoveExpired(h.now())
@@ -142,7 +163,9 @@
 	h.controlHosts.recordUpdate(addr, u)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.lastUpdateAt = h.now()
+	if !u.IsGreeting() {
+		h.lastUpdateAt = h.now()
+	}
 	for _, x := range u.Suspects {
 		if x.Reporter != h.cfg.feedAddr() { // a suspicion of its own is known already
 			h.steerer.AddSuspicion(h.now(), x.ID, x.Born)
--- a/internal/fleet/system_test.go
+++ b/internal/fleet/system_test.go
@@ -102,8 +102,10 @@
 	}
 }
 
-func (s *system) startEntry(host int) {
-	h, err := fleet.StartEntry(s.config(host, fleet.Entry, true), platform.Adapter{}, s.log)
+func (s *system) startEntry(host int) { s.startEntryWith(s.config(host, fleet.Entry, true)) }
+
+func (s *system) startEntryWith(cfg fleet.Config) {
+	h, err := fleet.StartEntry(cfg, platform.Adapter{}, s.log)
 	qt.Assert(s.t, err, qt.IsNil)
 	s.t.Cleanup(h.Stop)
 }
@@ -216,15 +218,15 @@
 	qt.Assert(s.t, err, qt.IsNil)
 }
 
-func (s *system) waitReady(host int) {
-	eventually(func() bool {
-		req, err := http.NewRequest("GET", "http://"+s.addr(host, 1)+standin.ReadyPath, nil)
-		qt.Assert(s.t, err, qt.IsNil)
-		status, _ := sendRequest(req)
-		return status == http.StatusOK
-	})
+func (s *system) isReady(host int) bool {
+	req, err := http.NewRequest("GET", "http://"+s.addr(host, 1)+standin.ReadyPath, nil)
+	qt.Assert(s.t, err, qt.IsNil)
+	status, _ := sendRequest(req)
+	return status == http.StatusOK
 }
 
+func (s *system) waitReady(host int) { eventually(func() bool { return s.isReady(host) }) }
+
 // TestWholePath covers a document, announcements, a flow over two entry hosts, and
 // a draining backend server.
 func TestWholePath(t *testing.T) {
