--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -54,13 +54,6 @@
 	return r.Sequence > old.Sequence
 }
 
-// Timeouts of the catalog.
-const (
-	silentAfterIntervals = 2.5              // heartbeat intervals without a heartbeat until a backend server is silent
-	removeAfter          = 90 * time.Second // time without an update until a record that is not ready is removed; longer than any flow lasts
-	maxTickGap           = time.Second      // a longer gap between ticks is a pause of this host
-)
-
 // Config holds the parameters of a catalog.
 type Config struct {
 	Self     string        // name by which other hosts know this control host, empty on an entry host
@@ -243,76 +236,6 @@
 	return false
 }
 
-// SetConnected records whether this host is connected to another control host.
-func (c *Catalog) SetConnected(now time.Duration, host string, isConnected bool) {
-	switch {
-	case isConnected:
-		c.connected[host] = true
-		delete(c.disconnectedAt, host)
-	case c.connected[host]:
-		delete(c.connected, host)
-		c.disconnectedAt[host] = now
-	}
-}
-
-// Tick marks backend servers as silent whose heartbeats no longer arrive, and
-// removes expired records. It reports whether it made a change that others must
-// know.
-func (c *Catalog) Tick(now time.Duration) bool {
-	pause := now - c.lastTick
-	c.lastTick = now
-	if pause > maxTickGap {
-		c.shiftTimes(pause)
-	}
-	c.RemoveExpired(now)
-	before := c.revision
-	for _, e := range c.entries {
-		if e.Status == Ready && c.silentFor(now, e) > c.silentAfter() {
-			e.Status, e.revision, e.from = Silent, c.nextRevision(), ""
-		}
-	}
-	return c.revision != before
-}
-
-// RemoveExpired removes the silent, draining and gone backend servers that have
-// not been updated for longer than any flow lasts. Hosts that receive no
-// heartbeats call it instead of Tick.
-func (c *Catalog) RemoveExpired(now time.Duration) {
-	for _, e := range c.entries {
-		if e.Status >= Silent && now-e.updatedAt > removeAfter {
-			c.remove(e)
-		}
-	}
-}
-
-// shiftTimes adds a pause of this host to all times, since it received nothing
-// during the pause.
-func (c *Catalog) shiftTimes(pause time.Duration) {
-	for _, e := range c.entries {
-		e.updatedAt += pause
-	}
-	for host := range c.disconnectedAt {
-		c.disconnectedAt[host] += pause
-	}
-}
-
-func (c *Catalog) silentAfter() time.Duration {
-	return time.Duration(silentAfterIntervals * float64(c.cfg.Interval))
-}
-
-// silentFor returns for how long no heartbeat of a backend server has arrived, as
-// far as this host knows. While this host is connected to the owner, it returns 0,
-// since the owner reports the silence.
-func (c *Catalog) silentFor(now time.Duration, e *entry) time.Duration {
-	if e.Owner == c.cfg.Self {
-		return now - e.updatedAt
-	}
-	if c.connected[e.Owner] {
-		return 0
-	}
-	return now - max(c.disconnectedAt[e.Owner], e.updatedAt)
-}
-
 // Since returns the records that changed after a revision. It leaves out records
 // whose last change came from the control host exclude, if that is not empty.
 func (c *Catalog) Since(revision uint64, exclude string) []Record {
--- a/internal/fleet/controlfeed.go
+++ b/internal/fleet/controlfeed.go
@@ -166,7 +166,7 @@
 }
 
 // allHosts selects all known hosts, since control hosts follow each other.
-func allHosts(known []*knownHost) map[string]bool {
+func allHosts(known []candidate) map[string]bool {
 	selected := map[string]bool{}
 	for _, k := range known {
 		selected[k.addr] = true
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -138,12 +138,8 @@
 }
 
 // selectControlHosts returns the control hosts to follow.
-func (h *EntryHost) selectControlHosts(known []*knownHost) map[string]bool {
-	var hosts []candidate
-	for _, k := range known {
-		hosts = append(hosts, k.candidate())
-	}
-	return selectHosts(h.cfg.Zone, h.cfg.Name, hosts)
+func (h *EntryHost) selectControlHosts(known []candidate) map[string]bool {
+	return selectHosts(h.cfg.Zone, h.cfg.Name, known)
 }
 
 // ConnectionChanged handles a followed control host that connected or
