Name the file and the line in errors of settings files

A field that is unknown, of the wrong type or standing twice was refused without the file's name and without its line. Decode now gives the line, counted with comments, and the functions that read files put the file's name before it:

quayd: bad.jsonc: parse settings: line 4: json: unknown field "zonee"; ...

Tests: TestErrorsNameTheLine.

--- a/internal/access/tokens.go
+++ b/internal/access/tokens.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
+	"fmt"
 	"net/http"
 	"os"
 	"strings"
@@ -41,7 +42,11 @@
 	if err != nil {
 		return nil, fault.New(fault.Invalid, "name a readable file in the field tokens", "read tokens: %w", err)
 	}
-	return ParseTokens(data)
+	tokens, err := ParseTokens(data)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return tokens, nil
 }
 
 // ParseTokens parses a JSON list of tokens with comments.
--- a/internal/cli/files.go
+++ b/internal/cli/files.go
@@ -40,7 +40,11 @@
 	if err != nil {
 		return nil, fault.New(fault.Invalid, "give the path of a readable file", "read settings: %w", err)
 	}
-	return parseTree(data)
+	tree, err := parseTree(data)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+	return tree, nil
 }
 
 // parseTree parses a settings file. The value null unsets a key.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -66,7 +66,11 @@
 	if err != nil {
 		return Config{}, fault.New(fault.Invalid, "give the path of a readable settings file with --config", "read settings: %w", err)
 	}
-	return Parse(data)
+	c, err := Parse(data)
+	if err != nil {
+		return Config{}, fmt.Errorf("%s: %w", path, err)
+	}
+	return c, nil
 }
 
 // Parse parses and checks settings.
--- a/internal/fleet/reload.go
+++ b/internal/fleet/reload.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"os"
 	"slices"
 
@@ -24,7 +25,7 @@
 	}
 	cfg, err := ParseConfig(data)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("%s: %w", path, err)
 	}
 	return &settingsFile{path: path, data: data, cfg: cfg}, nil
 }
--- a/internal/jsonc/jsonc_test.go
+++ b/internal/jsonc/jsonc_test.go
@@ -35,6 +35,19 @@
 	}
 }
 
+// Errors name the line, counted with comments.
+func TestErrorsNameTheLine(t *testing.T) {
+	for _, tc := range []struct{ data, want string }{
+		{"{\n// who\n\"name\": \"a\",\n\"name\": \"b\"}", "line 4: .*"},
+		{"{\n/* a\n comment */\n\"nom\": \"a\"}", "line 4: .*unknown field.*"},
+		{"{\"name\": \"a\",\n\n\"map\": {\"x\": \"many\"}}", "line 3: .*cannot unmarshal.*"},
+		{"{\n\"name\" \"a\"}", ".*line 2.*"},
+	} {
+		err := Decode([]byte(tc.data), new(sample))
+		qt.Check(t, err, qt.ErrorMatches, tc.want, qt.Commentf("%s", tc.data))
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	f.Add([]byte(`{"name": "a", "map": {"x": 1}} // end`))
 	f.Add([]byte(`[{"a": [{"a": 1}]}]`))
