Limit the memory of hosts softly, own addresses for the emulator, reload reports

What is allocated between two collections may be four times what is alive. Setting memoryMb, from the platform's template, makes the process collect more often above 0.6 of it (TestMemoryLimit). - The emulator gives each system an IP address of its own. On 127.0.0.1 the ports of a stopped host may go to another process, which then also gets the gossip meant for that host.

--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -15,11 +15,10 @@
 	"greengagequay/internal/config"
 	"greengagequay/internal/daemon"
 	"greengagequay/internal/logs"
+	"greengagequay/internal/loopback"
 	"greengagequay/internal/standin"
 )
 
-const loopback = "127.0.0.1:0"
-
 // HostSpec describes one host.
 type HostSpec struct {
 	Name, Zone string
@@ -42,6 +41,7 @@
 	Backends []*standin.Server
 
 	dir     string
+	anyPort string // listen address of every port; the fleet has an IP address of its own
 	mu      sync.Mutex
 	daemons []*daemon.Daemon // by index of the host
 	down    []bool           // by index of the host; true from before it ends until it has started again
@@ -54,7 +54,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("create data folder: %w", err)
 	}
-	f := &Fleet{Hosts: hosts, Services: services, dir: dir}
+	f := &Fleet{Hosts: hosts, Services: services, dir: dir, anyPort: loopback.AnyPort()}
 	if err := f.startHosts(); err != nil {
 		f.Close()
 		return nil, err
@@ -96,9 +96,9 @@
 func (f *Fleet) configOf(spec HostSpec) config.Config {
 	c := config.Config{
 		Name: spec.Name, Zone: spec.Zone, Roles: []config.Role{config.Entry},
-		RPC: loopback, API: loopback, Gossip: loopback,
-		Packets: loopback, Relay: loopback, Requests: loopback,
-		Listeners: map[string]string{f.Services[0].Name: loopback},
+		RPC: f.anyPort, API: f.anyPort, Gossip: f.anyPort,
+		Packets: f.anyPort, Relay: f.anyPort, Requests: f.anyPort,
+		Listeners: map[string]string{f.Services[0].Name: f.anyPort},
 		Log:       config.Log{Level: "warn", Format: "text"},
 	}
 	if spec.Control {
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -9,6 +9,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net"
 	"net/netip"
 	"strconv"
@@ -45,6 +46,7 @@
 	TolerateLoss int      `json:"tolerateLoss"` // on control hosts: number of control hosts that may be lost at once
 	DrainMs      int      `json:"drainMs"`      // on entry hosts: how long a backend server keeps running after it announced that it drains
 	StaleMs      int      `json:"staleMs"`      // on entry hosts: time without news of control hosts after which the readiness check fails; 0 for never
+	MemoryMB     float64  `json:"memoryMb"`     // memory that the process may use, in megabytes; 0 for no limit
 	LinkMbps     float64  `json:"linkMbps"`     // on entry hosts: rate of the host's link in Mbit/s; 0 if it is never a bottleneck
 	// Via maps internal IP:port addresses of hosts to the addresses at which this
 	// host reaches them. Hosts without an entry are reached at their own address.
@@ -114,6 +116,9 @@
 	if c.HeartbeatMs <= 0 {
 		return fault.New(fault.Invalid, settingsRemedy, "field \"heartbeatMs\" is %d, not above 0", c.HeartbeatMs)
 	}
+	if c.MemoryMB < 0 {
+		return fault.New(fault.Invalid, settingsRemedy, "field \"memoryMb\" is %g, below 0", c.MemoryMB)
+	}
 	if c.StaleMs < 0 {
 		return fault.New(fault.Invalid, settingsRemedy, "field \"staleMs\" is %d, below 0", c.StaleMs)
 	}
@@ -170,6 +175,20 @@
 	return time.Duration(drainFallbackFraction * float64(c.DrainMs) * float64(time.Millisecond))
 }
 
+// heapFraction is the fraction of the memory of a process above which it collects
+// garbage more often. The rest is for what the runtime does not count, and for what
+// is allocated while a collection runs.
+const heapFraction = 0.6
+
+// memoryLimit returns the soft limit of memory in bytes, or math.MaxInt64 if there
+// is none.
+func (c Config) memoryLimit() int64 {
+	if c.MemoryMB == 0 {
+		return math.MaxInt64
+	}
+	return int64(heapFraction * c.MemoryMB * 1e6)
+}
+
 // Heartbeat returns the interval between announcements of a backend server.
 func (c Config) Heartbeat() time.Duration { return time.Duration(c.HeartbeatMs) * time.Millisecond }
 
--- a/internal/fleet/config_test.go
+++ b/internal/fleet/config_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math"
 	"strings"
 	"testing"
 	"time"
@@ -39,6 +40,7 @@
 		{"bad address", `"10.0.0.1:1"`, `"10.0.0.1"`, `.*"packets".*`},
 		{"bad seed", `["10.0.0.9:80"]`, `["x"]`, `.*"seeds", item 0.*`},
 		{"no internal port", `[7000, 7010]`, `[]`, `.*"internal".*`},
+		{"negative memoryMb", `"drainMs": 3000`, `"memoryMb": -1`, `.*"memoryMb" is -1.*`},
 		{"negative staleMs", `"drainMs": 3000`, `"staleMs": -1`, `.*"staleMs" is -1.*`},
 		{"no port after the first one", `[7000, 7010]`, `[65535]`, `.*"internal".*next port.*`},
 		{"port out of range", `[7000, 7010]`, `[70000]`, `.*"internal".*`},
@@ -63,8 +65,21 @@
 	next := old
 	next.Seeds, next.FirstStart = []string{"10.0.0.8:80"}, true
 	c.Assert(old.needsRestart(next), qt.IsFalse)
-	next.Zone = "b"
-	c.Assert(old.needsRestart(next), qt.IsTrue)
+	for name, change := range map[string]func(*Config){
+		"zone":         func(n *Config) { n.Zone = "b" },
+		"internal":     func(n *Config) { n.Internal = []int{7001, 7010} },
+		"metrics":      func(n *Config) { n.Metrics = "10.0.0.1:4" },
+		"tolerateLoss": func(n *Config) { n.TolerateLoss = 2 },
+		"drainMs":      func(n *Config) { n.DrainMs = 4000 },
+		"via":          func(n *Config) { n.Via = map[string]string{"10.0.0.9:7000": "10.0.0.8:7000"} },
+		"graceS":       func(n *Config) { n.GraceS = 7 },
+		"staleMs":      func(n *Config) { n.StaleMs = 1 },
+		"memoryMb":     func(n *Config) { n.MemoryMB = 1 },
+	} {
+		changed := next
+		change(&changed)
+		c.Check(old.needsRestart(changed), qt.IsTrue, qt.Commentf("%s", name))
+	}
 }
 
 // Settings that tolerate more lost hosts than the log supports are accepted.
@@ -73,3 +88,9 @@
 		qt.Check(t, Config{TolerateLoss: tt.tolerated}.targetVoters(), qt.Equals, tt.targetVoters)
 	}
 }
+
+func TestMemoryLimit(t *testing.T) {
+	qt.Check(t, Config{}.memoryLimit(), qt.Equals, int64(math.MaxInt64))
+	limit := Config{MemoryMB: 128}.memoryLimit()
+	qt.Check(t, limit > 0 && limit < 128_000_000, qt.IsTrue, qt.Commentf("%d", limit))
+}
--- a/internal/fleet/main.go
+++ b/internal/fleet/main.go
@@ -30,7 +30,6 @@
 // Run runs a host with the settings at path until SIGTERM, an interrupt or the end
 // of ctx.
 func Run(ctx context.Context, path string, a Adapter, out io.Writer) error {
-	debug.SetGCPercent(gcPercent)
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	settings, err := openSettings(path)
@@ -41,6 +40,8 @@
 	defer log.Close(logCloseTimeout)
 	settings.log = log
 	cfg := settings.cfg
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(cfg.memoryLimit())
 	h, err := start(cfg, a, log)
 	if err != nil {
 		log.Event("stop", "could not start", eventlog.Fields{"error": err.Error()})
--- a/internal/fleet/reload.go
+++ b/internal/fleet/reload.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"os"
+	"reflect"
 	"slices"
 
 	"greengagequay/internal/eventlog"
@@ -54,16 +55,10 @@
 	return cfg, true
 }
 
-// needsRestart reports whether Internal or one of the restartSettings differs. A
-// running host applies only changed seeds.
+// needsRestart reports whether any setting differs but Seeds, which a running host
+// applies, and FirstStart, which matters at a start only.
 func (c Config) needsRestart(next Config) bool {
 	c.Seeds, next.Seeds = nil, nil
 	c.FirstStart, next.FirstStart = false, false
-	return !slices.Equal(c.Internal, next.Internal) || c.restartSettings() != next.restartSettings()
-}
-
-// restartSettings returns the settings, other than Internal, that needsRestart
-// compares.
-func (c Config) restartSettings() [10]any {
-	return [10]any{c.Name, c.Role, c.Zone, c.IP, c.Packets, c.Ready, c.API, c.Data, c.HeartbeatMs, c.LinkMbps}
+	return !reflect.DeepEqual(c, next)
 }
--- a/internal/loopback/loopback.go
+++ b/internal/loopback/loopback.go
@@ -1,7 +1,8 @@
-// Package loopback chooses loopback addresses for tests that stop a host and
-// later bind its ports again. On 127.0.0.1 another process can take such a port
-// in between, for a listener of its own or for an outgoing connection. An address
-// that only one test uses has no such rivals.
+// Package loopback chooses loopback addresses for systems that run in one process,
+// as tests do, and that stop a host and later bind its ports again. On 127.0.0.1
+// another process can take such a port in between, for a listener of its own or for
+// an outgoing connection, and gets the messages that were meant for the stopped
+// host. An address that only one system uses has no such rivals.
 package loopback
 
 import (
