Spare entry hosts the owners of backend servers and most rebuilt tables

Each such change of owner went to every entry host, and each update made it build the table of all backend servers anew, while packets waited.

Change: the catalog counts apart what entry hosts must know; a change of owner alone is sent to control hosts only.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -64,8 +64,9 @@
 type entry struct {
 	Record
 	updatedAt time.Duration // when this host last received a newer record, or marked it as gone
-	revision  uint64        // revision of the last change that others must know
+	revision  uint64        // revision of the last change that other control hosts must know
 	from      string        // control host that sent that change, empty if it came from no other control host
+	steering  uint64        // revision of the last change that entry hosts must know
 }
 
 // Catalog is the set of known backend servers. It is not safe for concurrent
@@ -75,6 +76,7 @@
 	entries        map[string]*entry
 	byAddress      map[netip.AddrPort]*entry // the backend server at each address that is not gone
 	revision       uint64
+	steering       uint64 // revision of the last change that entry hosts must know
 	lastTick       time.Duration
 	connected      map[string]bool          // control hosts that this host is connected to
 	disconnectedAt map[string]time.Duration // control hosts that this host was connected to, and when the connection ended
@@ -89,9 +91,14 @@
 }
 
 // Revision returns the revision of the catalog, which increases with each change
-// that others must know.
+// that other control hosts must know.
 func (c *Catalog) Revision() uint64 { return c.revision }
 
+// SteeringRevision returns the revision of the last change that entry hosts must
+// know. They need not know which control host owns a record: after a restart of
+// control hosts that changes for all backend servers at once.
+func (c *Catalog) SteeringRevision() uint64 { return c.steering }
+
 // ReceiveHeartbeat handles an announcement that a backend server sent to this
 // host. It reports whether it made a change that others must know.
 func (c *Catalog) ReceiveHeartbeat(now time.Duration, h Heartbeat) bool {
@@ -153,8 +160,9 @@
 			c.markGone(now, other)
 		}
 	}
-	e := &entry{Record: r, updatedAt: now, revision: c.nextRevision(), from: from}
+	e := &entry{Record: r, updatedAt: now}
 	c.entries[r.ID] = e
+	c.recordChange(e, from)
 	if r.Status != Gone {
 		c.byAddress[r.Address] = e
 	}
@@ -163,7 +171,8 @@
 
 func (c *Catalog) markGone(now time.Duration, e *entry) {
 	c.releaseAddress(e)
-	e.Status, e.updatedAt, e.revision, e.from = Gone, now, c.nextRevision(), ""
+	e.Status, e.updatedAt = Gone, now
+	c.recordChange(e, "")
 }
 
 // releaseAddress frees the address of a backend server that is gone or removed.
@@ -186,22 +195,34 @@
 		c.remove(old)
 		return c.admit(now, fresh, from)
 	}
-	same := old.Status == fresh.Status && old.Owner == fresh.Owner && old.Service == fresh.Service &&
-		old.Slots == fresh.Slots && old.Zone == fresh.Zone
+	sameOwner := old.Owner == fresh.Owner
+	sameForSteering := old.Status == fresh.Status && old.Service == fresh.Service && old.Slots == fresh.Slots && old.Zone == fresh.Zone
 	old.Record, old.updatedAt = fresh, now
 	if fresh.Status == Gone {
 		c.releaseAddress(old)
 	}
-	if same {
+	switch {
+	case !sameForSteering:
+		c.recordChange(old, from)
+	case !sameOwner:
+		c.recordOwnerChange(old, from)
+	default:
 		return false
 	}
-	old.revision, old.from = c.nextRevision(), from
 	return true
 }
 
-func (c *Catalog) nextRevision() uint64 {
+// recordChange records a change that all others must know. from is the control
+// host that sent it, or empty.
+func (c *Catalog) recordChange(e *entry, from string) {
+	c.recordOwnerChange(e, from)
+	e.steering, c.steering = c.revision, c.revision
+}
+
+// recordOwnerChange records a change that only other control hosts must know.
+func (c *Catalog) recordOwnerChange(e *entry, from string) {
 	c.revision++
-	return c.revision
+	e.revision, e.from = c.revision, from
 }
 
 // Merge merges records from another control host. It reports whether they made a
@@ -247,3 +268,15 @@
 	}
 	return records
 }
+
+// SteeringSince returns the records with a change after a revision that entry hosts
+// must know.
+func (c *Catalog) SteeringSince(revision uint64) []Record {
+	var records []Record
+	for _, e := range c.entries {
+		if e.steering > revision {
+			records = append(records, e.Record)
+		}
+	}
+	return records
+}
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -228,3 +228,19 @@
 		}
 	}
 }
+
+// After a restart of control hosts each backend server has another owner. Only
+// control hosts need to know that.
+func TestOwnerChangesAreNotForEntryHosts(t *testing.T) {
+	c := qt.New(t)
+	known := newCatalog("c1")
+	known.ReceiveHeartbeat(0, heartbeat("x", 1, 1))
+	all, steering := known.Revision(), known.SteeringRevision()
+	known.Merge(0, "c2", []Record{{Heartbeat: heartbeat("x", 1, 2), Owner: "c2"}})
+	c.Assert(known.Since(all, ""), qt.HasLen, 1)
+	c.Assert(known.SteeringRevision(), qt.Equals, steering)
+	c.Assert(known.SteeringSince(steering), qt.HasLen, 0)
+	known.Merge(0, "c2", []Record{{Heartbeat: heartbeat("x", 1, 3), Status: Draining, Owner: "c2"}})
+	c.Assert(known.SteeringSince(steering), qt.HasLen, 1)
+	c.Assert(known.SteeringRevision(), qt.Equals, known.Revision())
+}
--- a/internal/catalog/silence.go
+++ b/internal/catalog/silence.go
@@ -34,7 +34,8 @@
 	before := c.revision
 	for _, e := range c.entries {
 		if e.Status == Ready && c.silentFor(now, e) > c.silentAfter() {
-			e.Status, e.revision, e.from = Silent, c.nextRevision(), ""
+			e.Status = Silent
+			c.recordChange(e, "")
 		}
 	}
 	return c.revision != before
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -29,7 +29,7 @@
 
 func (s *source) Greeting() Update { return Update{From: HostInfo{Addr: "c1"}} }
 
-func (s *source) Position() Cursor {
+func (s *source) Position(HostInfo) Cursor {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return Cursor{Revision: s.revision, Started: true}
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -10,7 +10,7 @@
 
 // Cursor is the state up to which a follower has received updates.
 type Cursor struct {
-	Revision uint64 // revision of the catalog
+	Revision uint64 // revision of the catalog, for entry hosts that of steering
 	Version  uint64 // version of the document
 	Suspects uint64 // revision of the list of suspects
 	Peers    uint64 // revision of the list of peers
@@ -23,8 +23,9 @@
 type Source interface {
 	// Greeting returns the update that identifies the host. It holds no state.
 	Greeting() Update
-	// Position returns the cursor of a follower that has received everything.
-	Position() Cursor
+	// Position returns the cursor of a follower that has received everything. It is
+	// the same for all entry hosts.
+	Position(to HostInfo) Cursor
 	// Next returns the update for a follower that has received everything up to
 	// the cursor after, and the new cursor. It returns false if the follower is up
 	// to date.
@@ -189,7 +190,7 @@
 // if the follower is up to date. Entry hosts with the same cursor get the same
 // frame.
 func (s *Server) nextFrame(to Hello, after Cursor) ([]byte, Cursor) {
-	position := s.source.Position()
+	position := s.source.Position(to.From)
 	switch {
 	case position == after:
 		return nil, after
--- a/internal/fleet/controlfeed.go
+++ b/internal/fleet/controlfeed.go
@@ -24,17 +24,20 @@
 }
 
 // Position returns the cursor of a follower that has received everything.
-func (h *ControlHost) Position() feed.Cursor {
+func (h *ControlHost) Position(to feed.HostInfo) feed.Cursor {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.position()
+	return h.position(to)
 }
 
-func (h *ControlHost) position() feed.Cursor {
-	return feed.Cursor{
-		Revision: h.catalog.Revision(), Version: h.version, Peers: h.peersRevision, Current: h.current, Started: true,
-		Suspects: h.suspects.revision,
+func (h *ControlHost) position(to feed.HostInfo) feed.Cursor {
+	position := feed.Cursor{Peers: h.peersRevision, Current: h.current, Started: true}
+	if to.Control { // control hosts get the document from the log, and place no flows
+		position.Revision = h.catalog.Revision()
+		return position
 	}
+	position.Revision, position.Version, position.Suspects = h.catalog.SteeringRevision(), h.version, h.suspects.revision
+	return position
 }
 
 // Next returns the update for a follower that has received everything up to the
@@ -42,7 +45,7 @@
 func (h *ControlHost) Next(to feed.Hello, after feed.Cursor) (feed.Update, feed.Cursor, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	next := h.position()
+	next := h.position(to.From)
 	if next == after {
 		return feed.Update{}, after, false
 	}
@@ -50,15 +53,14 @@
 	if !after.Started {
 		u.From = h.info
 	}
-	if next.Revision != after.Revision {
-		u.Records = h.catalog.Since(after.Revision, to.From.Addr)
-	}
 	if next.Peers != after.Peers || !after.Started {
 		u.Peers = slices.Collect(maps.Values(h.peers))
 	}
-	if to.From.Control { // control hosts get the document from the log, and place no flows
+	if to.From.Control {
+		u.Records = h.catalog.Since(after.Revision, to.From.Addr)
 		return u, next, true
 	}
+	u.Records = h.catalog.SteeringSince(after.Revision)
 	if after.Started { // a new follower would treat earlier suspects as new
 		u.Suspects = h.suspects.since(after.Suspects)
 	}
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -45,6 +45,8 @@
 	documents    map[string]*document.Document // the last document of each followed control host, by its address
 	lastUpdateAt time.Duration                 // when the last update from a followed control host arrived
 	leaving      bool
+	pacer        rebuildPacer
+	rebuildSet   bool // whether a timer will build a table
 }
 
 func StartEntry(cfg Config, a Adapter, log *eventlog.Log) (*EntryHost, error) {
@@ -168,19 +170,44 @@
 		}
 	}
 	changed := h.catalog.Merge(h.now(), addr, u.Records)
-	d := h.receiveDocument(addr, u)
-	table := h.steerer.Table()
-	switch {
-	case d != nil && d.Version > table.Version:
-		table = steering.Build(d, h.catalog.Since(0, ""))
+	if d := h.receiveDocument(addr, u); d != nil && d.Version > h.steerer.Table().Version {
+		h.buildTable(func(servers []catalog.Record) *steering.Table { return steering.Build(d, servers) })
 		h.log.Event("version", "a new document is in force", eventlog.Fields{"version": d.Version, "from": addr})
-	case changed:
-		table = table.WithServers(h.catalog.Since(0, ""))
-	default:
+	} else if changed {
+		h.updateServers()
+	}
+	if changed {
+		h.logBackends(addr, u.Records)
+	}
+}
+
+// updateServers builds a table with the known backend servers, now or as soon as
+// the pacer allows. The caller holds mu.
+func (h *EntryHost) updateServers() {
+	if h.rebuildSet {
+		return
+	}
+	if delay := h.pacer.delay(h.now()); delay > 0 {
+		h.rebuildSet = true
+		time.AfterFunc(delay, h.updateServersLater)
 		return
 	}
-	h.steerer.SetTable(h.now(), table)
-	h.logBackends(addr, u.Records)
+	h.buildTable(h.steerer.Table().WithServers)
+}
+
+// updateServersLater builds the table that updateServers put off.
+func (h *EntryHost) updateServersLater() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.rebuildSet = false
+	h.buildTable(h.steerer.Table().WithServers)
+}
+
+// buildTable puts a new table in force. The caller holds mu.
+func (h *EntryHost) buildTable(build func(servers []catalog.Record) *steering.Table) {
+	began := h.now()
+	h.steerer.SetTable(began, build(h.catalog.Since(0, "")))
+	h.pacer.record(began, h.now())
 }
 
 // receiveDocument returns the document that an update of a control host leads to,
--- a/internal/fleet/slowlink_test.go
+++ b/internal/fleet/slowlink_test.go
@@ -30,7 +30,7 @@
 
 func (c *controlStandin) Greeting() feed.Update { return feed.Update{From: c.info} }
 
-func (c *controlStandin) Position() feed.Cursor { return standinPosition }
+func (c *controlStandin) Position(feed.HostInfo) feed.Cursor { return standinPosition }
 
 func (c *controlStandin) Next(feed.Hello, feed.Cursor) (feed.Update, feed.Cursor, bool) {
 	return feed.Update{From: c.info, Records: c.records, Document: &document.Document{Version: 1}}, standinPosition, true
