--- a/internal/steering/load_test.go
+++ b/internal/steering/load_test.go
@@ -99,6 +99,56 @@
 	}
 }
 
+// shareInterval is how often hosts learn the flows of the others, as with the
+// heartbeats of a feed.
+const shareInterval = 500 * time.Millisecond
+
+// sharedCountsPolicy knows the flows that all hosts had placed at the last share, and
+// its own since then. It chooses the backend server with the fewest flows of the
+// given number of random ones.
+type sharedCountsPolicy struct {
+	rng      *rand.Rand
+	choices  int
+	own      [loadHosts][loadServers]int
+	shared   [loadServers]int            // flows of all hosts at the last share
+	sharedOf [loadHosts][loadServers]int // own at the last share
+	sharedAt time.Duration
+}
+
+func (p *sharedCountsPolicy) place(now time.Duration, host, _ int) int {
+	if now-p.sharedAt >= shareInterval {
+		p.share(now)
+	}
+	candidates := p.rng.Perm(loadServers)[:p.choices]
+	best := candidates[0]
+	for _, n := range candidates[1:] {
+		if p.estimate(host, n) < p.estimate(host, best) {
+			best = n
+		}
+	}
+	p.own[host][best]++
+	return best
+}
+
+func (p *sharedCountsPolicy) estimate(host, server int) int {
+	return p.shared[server] + p.own[host][server] - p.sharedOf[host][server]
+}
+
+func (p *sharedCountsPolicy) share(now time.Duration) {
+	p.sharedAt, p.sharedOf, p.shared = now, p.own, [loadServers]int{}
+	for _, flows := range p.own {
+		for n, count := range flows {
+			p.shared[n] += count
+		}
+	}
+}
+
+func (p *sharedCountsPolicy) request(_ time.Duration, host, _, server int, last bool) {
+	if last {
+		p.own[host][server]--
+	}
+}
+
 // loadEvent is a function to run at a time.
 type loadEvent struct {
 	at time.Duration
@@ -225,15 +275,18 @@
 
 // Round robin serves more requests on time than random choice. Choosing the fewest
 // flows by each host's own counts is only slightly better, since each host sees a
-// small part of the flows, and would need a lookup for each packet.
+// small part of the flows, and would need a lookup for each packet. The policies
+// with shared counts are there for comparison.
 func TestPlacingUnderLoad(t *testing.T) {
 	for _, burst := range []float64{1.8, 2.6} {
 		onTime, refused := map[string]float64{}, map[string]float64{}
 		for seed := uint64(1); seed <= loadSeeds; seed++ {
 			for name, p := range map[string]policy{
-				"random":       randomPolicy{rand.New(rand.NewPCG(seed, 2))},
-				"round robin":  newRoundRobinPolicy(t),
-				"fewest flows": &fewestFlowsPolicy{},
+				"random":               randomPolicy{rand.New(rand.NewPCG(seed, 2))},
+				"round robin":          newRoundRobinPolicy(t),
+				"fewest flows":         &fewestFlowsPolicy{},
+				"two choices, shared":  &sharedCountsPolicy{rng: rand.New(rand.NewPCG(seed, 2)), choices: 2},
+				"fewest flows, shared": &sharedCountsPolicy{rng: rand.New(rand.NewPCG(seed, 2)), choices: loadServers},
 			} {
 				w := &loadSim{rng: rand.New(rand.NewPCG(seed, 1)), policy: p, burst: burst}
 				w.run()
@@ -242,7 +295,7 @@
 			}
 		}
 		for name := range onTime {
-			t.Logf("burst %.1f, %-13s on time %.4f, refused by backend servers %.4f", burst, name, onTime[name], refused[name])
+			t.Logf("burst %.1f, %-20s on time %.4f, refused by backend servers %.4f", burst, name, onTime[name], refused[name])
 		}
 		c := qt.New(t)
 		c.Check(onTime["round robin"] > onTime["random"], qt.IsTrue)
