--- a/internal/feed/framecache.go
+++ b/internal/feed/framecache.go
@@ -28,22 +28,22 @@
 // get returns the frame of a key and the cursor after it. If the cache does not
 // have the frame, it calls encode, which returns a frame, nil if there is none,
 // and the cursor after it.
-func (c *frameCache) get(key frameKey, encode func() ([]byte, Cursor)) ([]byte, Cursor) {
+func (c *frameCache) get(key frameKey, encode func() ([]byte, Cursor, error)) ([]byte, Cursor, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, f := range c.frames {
 		if f.key == key {
-			return f.data, key.next
+			return f.data, key.next, nil
 		}
 	}
-	data, next := encode()
-	if data == nil {
-		return nil, next
+	data, next, err := encode()
+	if data == nil || err != nil {
+		return nil, next, err
 	}
 	key.next = next // there may have been a change since the key was made
 	c.frames = append(c.frames, cachedFrame{key, data})
 	if len(c.frames) > maxCachedFrames {
 		c.frames = c.frames[1:]
 	}
-	return data, next
+	return data, next, nil
 }
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -153,7 +153,10 @@
 	var cursor Cursor
 	for {
 		changed := s.source.Changed()
-		frame, next := s.nextFrame(hello, cursor)
+		frame, next, err := s.nextFrame(hello, cursor)
+		if err != nil {
+			return // the follower connects again and gets the whole state
+		}
 		if frame != nil {
 			cursor = next
 			if _, err := conn.Write(frame); err != nil {
@@ -189,29 +192,26 @@
 // nextFrame returns the next frame for a follower and the cursor after it, or nil
 // if the follower is up to date. Entry hosts with the same cursor get the same
 // frame.
-func (s *Server) nextFrame(to Hello, after Cursor) ([]byte, Cursor) {
+func (s *Server) nextFrame(to Hello, after Cursor) ([]byte, Cursor, error) {
 	position := s.source.Position(to.From)
 	switch {
 	case position == after:
-		return nil, after
+		return nil, after, nil
 	case to.From.Control:
 		return s.encodeNext(to, after)
 	}
 	key := frameKey{after: after, next: position, compressed: to.Compressed, deltas: to.Deltas}
-	return s.frames.get(key, func() ([]byte, Cursor) { return s.encodeNext(to, after) })
+	return s.frames.get(key, func() ([]byte, Cursor, error) { return s.encodeNext(to, after) })
 }
 
 // encodeNext encodes the next update for a follower. It returns nil if the
 // follower is up to date.
-func (s *Server) encodeNext(to Hello, after Cursor) ([]byte, Cursor) {
+func (s *Server) encodeNext(to Hello, after Cursor) ([]byte, Cursor, error) {
 	u, next, ok := s.source.Next(to, after)
 	if !ok {
-		return nil, after
+		return nil, after, nil
 	}
 	u.Synced = true
 	frame, err := encodeFrame(u, to.Compressed)
-	if err != nil {
-		return nil, after
-	}
-	return frame, next
+	return frame, next, err
 }
