--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -147,7 +147,9 @@
 	for n := range whole {
 		c.Assert(readFrame(bytes.NewReader(whole[:n]), &hello), qt.IsNotNil, qt.Commentf("%d bytes", n))
 	}
-	c.Assert(readFrame(bytes.NewReader([]byte{0x7f, 0xff, 0xff, 0xff}), &hello), qt.ErrorMatches, ".*longer than.*")
+	for _, first := range []byte{0x7f, 0xff} { // uncompressed and compressed
+		c.Assert(readFrame(bytes.NewReader([]byte{first, 0xff, 0xff, 0xff}), &hello), qt.ErrorMatches, ".*longer than.*")
+	}
 	c.Assert(readFrame(bytes.NewReader([]byte{0, 0, 0, 1, 0xff}), &hello), qt.ErrorMatches, "decode frame: .*")
 }
 
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -43,7 +43,7 @@
 	steerer      *steering.Steerer
 	catalog      *catalog.Catalog
 	documents    map[string]*document.Document // the last document of each followed control host, by its address
-	lastUpdateAt time.Duration                 // when the last update from a followed control host arrived
+	lastUpdateAt time.Duration                 // when the last update arrived from a control host that has sent its state
 	leaving      bool
 	pacer        rebuildPacer
 	rebuildSet   bool // whether a timer will build a table
