--- a/review/tools/deployment.go
+++ b/review/tools/deployment.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -114,9 +115,24 @@
 			zone: zones[i%len(zones)], ip: fmt.Sprintf("127.11.%d.%d", i%len(zones)+1, 10+i), memory: entryMemoryMB,
 		})
 	}
+	d.closeOnSignal()
 	return d, d.findPorts()
 }
 
+// closeOnSignal ends all processes if the case itself is told to end.
+func (d *deployment) closeOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		select {
+		case <-signals:
+			d.close()
+			os.Exit(2)
+		case <-d.done:
+		}
+	}()
+}
+
 // findPorts chooses a base port whose ports are free on all hosts.
 func (d *deployment) findPorts() error {
 	for range 100 {
@@ -190,7 +206,6 @@
 	cmd := exec.Command("target/quayd", "host", "--config", path)
 	cmd.Stdout, cmd.Stderr = out, out
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + p.d.folder}
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
--- a/review/tools/flows.go
+++ b/review/tools/flows.go
@@ -96,7 +96,11 @@
 }
 
 func newBackend(d *deployment, service, zone string, home int) (*backend, error) {
-	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 12, 0, byte(home+1))})
+	return newBackendAt(d, service, zone, home, fmt.Sprintf("127.12.0.%d:0", home+1))
+}
+
+func newBackendAt(d *deployment, service, zone string, home int, address string) (*backend, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort(address)))
 	if err != nil {
 		return nil, err
 	}
--- a/review/tools/main.go
+++ b/review/tools/main.go
@@ -15,8 +15,10 @@
 var errNotRun = errors.New("the case could not run")
 
 var cases = map[string]func(rec *record, trouble bool) (bool, error){
-	"memory":  runMemory,
-	"foreign": runForeign,
+	"memory":    runMemory,
+	"foreign":   runForeign,
+	"lateleave": runLateLeave,
+	"bornback":  runBornBack,
 }
 
 func main() {
