Log and count messages of other hosts that can't be decoded

An entry host logged that a feed ended, and not why, and nothing if it ended before the state had arrived.

Both sides of a feed now log kind undecodable with the other host's address and the decoder's error, and count feed.undecodable. No behaviour changes. TestUndecodableFramesAreReported covers both sides.

--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net"
 	"sync"
 	"testing"
@@ -21,10 +22,13 @@
 	changed  chan struct{}
 	follower chan bool
 	reports  chan Report
+	errors   chan error // of reports that could not be decoded
 }
 
 func newSource() *source {
-	return &source{changed: make(chan struct{}), follower: make(chan bool, 8), reports: make(chan Report, 8)}
+	return &source{
+		changed: make(chan struct{}), follower: make(chan bool, 8), reports: make(chan Report, 8), errors: make(chan error, 8),
+	}
 }
 
 func (s *source) Greeting() Update { return Update{From: HostInfo{Addr: "c1"}} }
@@ -66,15 +70,22 @@
 
 func (s *source) FollowerChanged(_ HostInfo, connected bool) { s.follower <- connected }
 func (s *source) Reported(_ HostInfo, r Report)              { s.reports <- r }
+func (s *source) Undecodable(_ string, err error)            { s.errors <- err }
 
 // sink queues updates and changes of connections.
 type sink struct {
 	connected chan bool
 	updates   chan Update
+	errors    chan error // of updates that could not be decoded
+}
+
+func newSink() *sink {
+	return &sink{connected: make(chan bool, 8), updates: make(chan Update, 100), errors: make(chan error, 8)}
 }
 
 func (s *sink) ConnectionChanged(_ string, connected bool) { s.connected <- connected }
 func (s *sink) Updated(_ string, u Update)                 { s.updates <- u }
+func (s *sink) Undecodable(_ string, err error)            { s.errors <- err }
 
 // receiveIDs waits for n records and returns their ids, one character each.
 func (s *sink) receiveIDs(n int) (ids string) {
@@ -97,7 +108,7 @@
 	c.Assert(err, qt.IsNil)
 	server := Serve(listener, s)
 	c.Cleanup(server.Close)
-	received := &sink{connected: make(chan bool, 8), updates: make(chan Update, 100)}
+	received := newSink()
 	addr := listener.Addr().String()
 	conn, err := Follow(context.Background(), target(addr), HostInfo{Name: "e1"}, received)
 	c.Assert(err, qt.IsNil)
@@ -129,7 +140,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	defer listener.Close()
-	received := &sink{connected: make(chan bool, 8), updates: make(chan Update, 100)}
+	received := newSink()
 	addr := listener.Addr().String()
 	conn, err := Follow(context.Background(), target(addr), HostInfo{}, received)
 	c.Assert(err, qt.IsNil)
@@ -137,6 +148,29 @@
 	c.Assert(received.connected, qt.HasLen, 0)
 }
 
+// A frame that can't be decoded is reported on both sides; a connection that ends
+// without one is not.
+func TestUndecodableFramesAreReported(t *testing.T) {
+	c := qt.New(t)
+	undecodable := []byte{0, 0, 0, 1, 0xff}
+	s := newSource()
+	conn, received := follow(c, s)
+	_, err := conn.conn.Write(undecodable)
+	c.Assert(err, qt.IsNil)
+	c.Assert(<-s.errors, qt.ErrorMatches, "decode frame: .*")
+	<-conn.Done()
+	c.Assert(received.errors, qt.HasLen, 0)
+
+	near, far := net.Pipe()
+	go func() { _, _ = io.Copy(io.Discard, far) }()
+	conn, err = FollowConn(context.Background(), near, target("c2"), HostInfo{}, received)
+	c.Assert(err, qt.IsNil)
+	_, err = far.Write(undecodable)
+	c.Assert(err, qt.IsNil)
+	c.Assert(<-received.errors, qt.ErrorMatches, "decode frame: .*")
+	<-conn.Done()
+}
+
 func TestFrames(t *testing.T) {
 	c := qt.New(t)
 	whole, err := encodeFrame(Hello{From: HostInfo{Name: "e1", Zone: "a"}}, true)
--- a/internal/feed/frame.go
+++ b/internal/feed/frame.go
@@ -134,6 +134,10 @@
 	return out, err
 }
 
+// isUndecodable reports whether readFrame failed because of the content of a frame,
+// and not because the connection ended.
+func isUndecodable(err error) bool { return fault.KindOf(err) == fault.Invalid }
+
 const frameRemedy = "check that both hosts run the same version"
 
 func tooLong(n int) error {
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -37,6 +37,9 @@
 	FollowerChanged(follower HostInfo, connected bool)
 	// Reported handles a report from a follower.
 	Reported(follower HostInfo, r Report)
+	// Undecodable handles a report that could not be decoded. The connection ends
+	// after it.
+	Undecodable(follower string, err error)
 }
 
 // minUpdateInterval is the least time between two updates to one follower. Changes
@@ -114,6 +117,9 @@
 	for {
 		var r Report
 		if err := readFrame(in, &r); err != nil {
+			if isUndecodable(err) {
+				s.source.Undecodable(from.Addr, err)
+			}
 			return
 		}
 		if r.Sync {
--- a/internal/fleet/controlfeed.go
+++ b/internal/fleet/controlfeed.go
@@ -92,6 +92,12 @@
 	h.changes.notify()
 }
 
+// Undecodable handles a message of a follower or of another control host that could
+// not be decoded.
+func (h *ControlHost) Undecodable(addr string, err error) {
+	recordUndecodable(h.metrics, h.log, addr, err)
+}
+
 // ConnectionChanged handles a followed control host that connected or
 // disconnected.
 func (h *ControlHost) ConnectionChanged(addr string, connected bool) {
--- a/internal/fleet/slowlink_test.go
+++ b/internal/fleet/slowlink_test.go
@@ -38,6 +38,8 @@
 
 func (c *controlStandin) Changed() <-chan struct{} { return c.changed }
 
+func (c *controlStandin) Undecodable(string, error) {}
+
 func (c *controlStandin) FollowerChanged(feed.HostInfo, bool) {}
 
 func (c *controlStandin) Reported(feed.HostInfo, feed.Report) {}
@@ -51,6 +53,8 @@
 	lost  int             // connections that ended after the state had arrived
 }
 
+func (s *stateSink) Undecodable(string, error) {}
+
 func (s *stateSink) ConnectionChanged(_ string, connected bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
