--- /dev/null
+++ b/internal/fleet/process_test.go
@@ -0,0 +1,79 @@
+package fleet_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"greengagequay/internal/fleet"
+	"greengagequay/platform/standin"
+)
+
+// buildQuayd builds the program that the hosts run.
+func buildQuayd(t *testing.T) string {
+	program := filepath.Join(t.TempDir(), "quayd")
+	out, err := exec.Command("go", "build", "-o", program, "greengagequay/cmd/quayd").CombinedOutput()
+	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
+	return program
+}
+
+// startProcess starts a host as a process of its own, which the end of the test
+// kills.
+func (s *system) startProcess(program string, host int, role fleet.Role) *exec.Cmd {
+	settings, err := json.Marshal(s.config(host, role, true))
+	qt.Assert(s.t, err, qt.IsNil)
+	path := filepath.Join(s.folder, fmt.Sprintf("h%d.jsonc", host))
+	qt.Assert(s.t, os.WriteFile(path, settings, 0o600), qt.IsNil)
+	cmd := exec.Command(program, "host", "--config", path)
+	qt.Assert(s.t, cmd.Start(), qt.IsNil)
+	s.t.Cleanup(func() {
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+	})
+	return cmd
+}
+
+// flowsPerRound is the number of flows after which onlyServes decides. Entry hosts
+// take turns, so each of several ready backend servers gets some of them.
+const flowsPerRound = 8
+
+// onlyServes reports whether an entry host places new flows on this backend server
+// alone, as long as the others are in its zone.
+func (s *system) onlyServes(host int, b *backend, port *uint16) bool {
+	for range flowsPerRound {
+		*port++
+		s.sendTo(host, packet(*port, 0))
+		_ = b.conn.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
+		if _, err := b.conn.Read(make([]byte, 2048)); err != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// Guards against requests that reach a backend server after its draining was
+// acknowledged, because another record made the feeds undecodable.
+func TestProcessesDrainBesideAnUndecodableRecord(t *testing.T) {
+	program := buildQuayd(t)
+	s := newSystem(t)
+	for host := 1; host <= 3; host++ {
+		s.startProcess(program, host, fleet.Control)
+	}
+	s.startProcess(program, 4, fleet.Entry)
+	s.put(1, 7)
+	leaving, staying := s.backend("i-a1"), s.backend("i-b2")
+	s.announce(1, leaving, "ready")
+	s.announce(1, staying, "ready")
+	s.waitReady(4)
+
+	s.call(1, "POST", standin.HeartbeatPath("i-%ff"), string(s.heartbeat(s.backend("i-c3"), "ready")))
+	s.announce(1, leaving, "draining")
+	port := uint16(1000)
+	eventually(func() bool { return s.onlyServes(4, staying, &port) })
+}
--- a/internal/fleet/system_test.go
+++ b/internal/fleet/system_test.go
@@ -182,13 +182,17 @@
 	return &backend{id: id, conn: conn}
 }
 
-func (s *system) announce(host int, b *backend, state string) {
+// heartbeat returns the body of a backend server's next announcement.
+func (s *system) heartbeat(b *backend, state string) []byte {
 	b.sequence++
-	body := standin.Encode(standin.Heartbeat{
+	return standin.Encode(standin.Heartbeat{
 		Service: "orders", Address: b.conn.LocalAddr().(*net.UDPAddr).AddrPort(), Zone: "z1", Slots: 2,
 		State: state, Sequence: b.sequence, Born: 1_700_000_000_000,
 	})
-	status, _ := s.call(host, "POST", standin.HeartbeatPath(b.id), string(body))
+}
+
+func (s *system) announce(host int, b *backend, state string) {
+	status, _ := s.call(host, "POST", standin.HeartbeatPath(b.id), string(s.heartbeat(b, state)))
 	qt.Assert(s.t, status, qt.Equals, http.StatusOK)
 }
 
