Decode all that is encoded: one codec for messages and files

Cause: the CBOR library encodes what its decoder refuses by default: strings that are no valid UTF-8, arrays and maps of more than 131,072 elements. An announcement under the path /i-%ff gave a record with such a string. It made the hint file and each update of that control host undecodable, so the drains that this host acknowledged reached no entry host and no other control host.

The same cause acted in the replicated log: a valid document of 3.8 MB with 140,000 targets was committed, and no control host could apply it. Their logs stopped for good, also after a restart.

--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -187,6 +187,20 @@
 	c.Assert(readFrame(bytes.NewReader([]byte{0, 0, 0, 1, 0xff}), &hello), qt.ErrorMatches, "decode frame: .*")
 }
 
+// Guards against a record that ends the feeds of all followers.
+func TestFrameWithAnIDThatIsNoUTF8(t *testing.T) {
+	c := qt.New(t)
+	for _, compress := range []bool{false, true} {
+		records := make([]catalog.Record, 50)
+		records[0].ID = "i-\xff"
+		frame, err := encodeFrame(Update{Records: records}, compress)
+		c.Assert(err, qt.IsNil)
+		var u Update
+		c.Assert(readFrame(bytes.NewReader(frame), &u), qt.IsNil)
+		c.Assert(u.Records[0].ID, qt.Equals, "i-\xff")
+	}
+}
+
 func FuzzFrame(f *testing.F) {
 	for _, u := range []Update{
 		{Current: true, Suspects: []Suspect{{ID: "x"}}},
--- a/internal/feed/frame.go
+++ b/internal/feed/frame.go
@@ -16,9 +16,8 @@
 	"fmt"
 	"io"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"greengagequay/internal/catalog"
+	"greengagequay/internal/codec"
 	"greengagequay/internal/document"
 	"greengagequay/internal/fault"
 	"greengagequay/internal/raft"
@@ -92,7 +91,7 @@
 
 // encodeFrame encodes a frame. It compresses a large one if compress is set.
 func encodeFrame(v any, compress bool) ([]byte, error) {
-	data, err := cbor.Marshal(v)
+	data, err := codec.Marshal(v)
 	if err != nil {
 		return nil, fmt.Errorf("encode frame: %w", err)
 	}
@@ -165,7 +164,7 @@
 			return fault.New(fault.Invalid, frameRemedy, "decompress frame: %w", err)
 		}
 	}
-	if err := cbor.Unmarshal(data, into); err != nil {
+	if err := codec.Unmarshal(data, into); err != nil {
 		return fault.New(fault.Invalid, frameRemedy, "decode frame: %w", err)
 	}
 	return nil
--- a/internal/fleet/hint.go
+++ b/internal/fleet/hint.go
@@ -6,9 +6,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"greengagequay/internal/catalog"
+	"greengagequay/internal/codec"
 	"greengagequay/internal/eventlog"
 	"greengagequay/internal/wal"
 )
@@ -56,7 +55,7 @@
 }
 
 func (f *hintFile) write(records []catalog.Record) error {
-	data, err := cbor.Marshal(records)
+	data, err := codec.Marshal(records)
 	if err != nil {
 		return err
 	}
@@ -73,7 +72,7 @@
 		return nil, err
 	}
 	var records []catalog.Record
-	err = cbor.Unmarshal(data, &records)
+	err = codec.Unmarshal(data, &records)
 	return records, err
 }
 
--- a/internal/fleet/hint_test.go
+++ b/internal/fleet/hint_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"greengagequay/internal/catalog"
 	"greengagequay/internal/wal"
 )
 
@@ -34,3 +35,20 @@
 	f.savedAt = f.savedAt.Add(-minHintInterval)
 	c.Assert(f.due(7), qt.IsTrue)
 }
+
+// Guards against a hint file that one record makes unreadable.
+func TestHintWithAnIDThatIsNoUTF8IsLoaded(t *testing.T) {
+	c := qt.New(t)
+	folder, err := wal.OpenFolder(t.TempDir())
+	c.Assert(err, qt.IsNil)
+	f := newHintFile(folder, nil)
+	records := []catalog.Record{
+		{Heartbeat: catalog.Heartbeat{ID: "i-\xff", Service: "orders"}},
+		{Heartbeat: catalog.Heartbeat{ID: "i-a1", Service: "orders"}},
+	}
+	c.Assert(f.write(records), qt.IsNil)
+	got, err := f.load()
+	c.Assert(err, qt.IsNil)
+	c.Assert(got, qt.HasLen, len(records))
+	c.Assert(got[0].ID, qt.Equals, "i-\xff")
+}
--- a/internal/fleet/process_test.go
+++ b/internal/fleet/process_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -72,7 +73,8 @@
 	s.announce(1, staying, "ready")
 	s.waitReady(4)
 
-	s.call(1, "POST", standin.HeartbeatPath("i-%ff"), string(s.heartbeat(s.backend("i-c3"), "ready")))
+	odd := strings.Replace(string(s.heartbeat(s.backend("i-c3"), "ready")), `"orders"`, `"unnamed"`, 1)
+	s.call(1, "POST", standin.HeartbeatPath("i-%ff"), odd)
 	s.announce(1, leaving, "draining")
 	port := uint16(1000)
 	eventually(func() bool { return s.onlyServes(4, staying, &port) })
--- a/internal/fleet/system_test.go
+++ b/internal/fleet/system_test.go
@@ -350,3 +350,21 @@
 	s.put(2, 3)
 	c.Assert(s.get(1), qt.Equals, document(3))
 }
+
+// Guards against a document that the log accepts and no control host can apply.
+func TestLargeDocumentLeavesTheLogUsable(t *testing.T) {
+	c := qt.New(t)
+	s := newSystem(t)
+	s.startControls()
+	s.put(1, 1)
+	const targets = 140_000 // of one route
+	split := strings.Repeat(`{"service":"o","weight":1},`, targets)
+	large := `{"version":2,"services":[{"name":"o"}],"routes":[{"name":"r","host":"198.18.0.1","pathPrefix":"/443/","timeoutMs":1000,"split":[` +
+		strings.TrimSuffix(split, ",") + `]}]}`
+	eventually(func() bool {
+		status, _ := s.call(1, "POST", standin.PutPath, large)
+		return status == http.StatusOK
+	})
+	s.put(2, 3)
+	c.Assert(s.get(3), qt.Equals, document(3))
+}
--- a/internal/health/vote.go
+++ b/internal/health/vote.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/fxamacker/cbor/v2"
 
+	"greengagequay/internal/codec"
 	"greengagequay/internal/fault"
 	"greengagequay/internal/member"
 	"greengagequay/internal/model"
@@ -141,7 +141,7 @@
 func (c *Core) voteItem(now time.Time, id string, v *vote) member.Item {
 	i := member.Item{Key: KeyPrefix + c.Host + "/" + id, Zone: c.Zone, Version: uint64(now.UnixMilli()), Gone: v == nil}
 	if v != nil {
-		data, err := cbor.Marshal(*v)
+		data, err := codec.Marshal(*v)
 		if err != nil {
 			panic(err) // cannot happen: every vote can be encoded
 		}
@@ -168,7 +168,7 @@
 		return nil, nil
 	}
 	var v vote
-	if err := cbor.Unmarshal(i.Body, &v); err != nil {
+	if err := codec.Unmarshal(i.Body, &v); err != nil {
 		return nil, fault.New(fault.Invalid, "check which host published the vote", "decode vote %q: %w", i.Key, err)
 	}
 	c.storeVote(id, host, &v)
--- a/internal/member/baseline_test.go
+++ b/internal/member/baseline_test.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
+	"greengagequay/internal/codec"
 )
 
 // baseline is the design that the gossip protocol is compared with: every host
@@ -33,7 +33,7 @@
 	for i := range v.lastHeartbeat {
 		v.lastHeartbeat[i] = make([]time.Duration, n)
 	}
-	data, err := cbor.Marshal(heartbeat{Name: "z00-00", Incarnation: 1000, Revision: 1000})
+	data, err := codec.Marshal(heartbeat{Name: "z00-00", Incarnation: 1000, Revision: 1000})
 	if err != nil {
 		panic(err)
 	}
--- a/internal/member/message.go
+++ b/internal/member/message.go
@@ -3,8 +3,7 @@
 import (
 	"fmt"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"greengagequay/internal/codec"
 	"greengagequay/internal/fault"
 	"greengagequay/internal/model"
 )
@@ -116,7 +115,7 @@
 
 // Encode returns the datagram of a message.
 func Encode(m *Message) ([]byte, error) {
-	data, err := cbor.Marshal(m)
+	data, err := codec.Marshal(m)
 	if err != nil {
 		return nil, fmt.Errorf("encode gossip message: %w", err)
 	}
@@ -126,16 +125,8 @@
 	return data, nil
 }
 
-var decoder = newDecoder()
-
-func newDecoder() cbor.DecMode {
-	limits := cbor.DecOptions{MaxArrayElements: MaxDatagram, MaxMapPairs: 64, MaxNestedLevels: 8}
-	mode, err := limits.DecMode()
-	if err != nil {
-		panic(err) // the options are constants
-	}
-	return mode
-}
+// decoder accepts all that fits into a datagram.
+var decoder = codec.NewDecoder(codec.Options{MaxArrayElements: MaxDatagram, MaxMapPairs: 64, MaxNestedLevels: 8})
 
 // Decode parses a datagram and checks the fields on which the core relies.
 func Decode(data []byte) (*Message, error) {
--- a/internal/raft/membership.go
+++ b/internal/raft/membership.go
@@ -3,8 +3,7 @@
 import (
 	"slices"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"greengagequay/internal/codec"
 	"greengagequay/internal/fault"
 )
 
@@ -111,7 +110,7 @@
 
 // EncodeMembership returns the encoded form of a membership, as in an Entry.
 func EncodeMembership(m Membership) []byte {
-	data, err := cbor.Marshal(m)
+	data, err := codec.Marshal(m)
 	if err != nil {
 		panic(err) // cannot happen: all fields are encodable
 	}
@@ -120,7 +119,7 @@
 
 func decodeMembership(data []byte) (Membership, error) {
 	var m Membership
-	if err := cbor.Unmarshal(data, &m); err != nil {
+	if err := codec.Unmarshal(data, &m); err != nil {
 		return m, fault.New(fault.Corrupt, "remove the data folder and add the host as a learner", "decode membership: %w", err)
 	}
 	return m, nil
--- a/internal/registry/codec.go
+++ b/internal/registry/codec.go
@@ -5,8 +5,7 @@
 	"strings"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"greengagequay/internal/codec"
 	"greengagequay/internal/fault"
 	"greengagequay/internal/member"
 	"greengagequay/internal/model"
@@ -36,7 +35,7 @@
 }
 
 func encodeItem(b model.Backend, version uint64) member.Item {
-	data, err := cbor.Marshal(itemBody{
+	data, err := codec.Marshal(itemBody{
 		Service: b.Service, State: b.State, Incarnation: b.Incarnation,
 		Packet: b.Packet, Request: b.Request, Stream: b.Stream,
 		Slots: b.Slots, Weight: b.Weight, Load: float32(b.Load), LeaseMS: b.Lease.Milliseconds(), Silent: b.Silent,
@@ -50,7 +49,7 @@
 func decodeItem(i member.Item) (model.Backend, error) {
 	var d itemBody
 	id, ok := strings.CutPrefix(i.Key, KeyPrefix)
-	err := cbor.Unmarshal(i.Body, &d)
+	err := codec.Unmarshal(i.Body, &d)
 	if !ok || err != nil || !d.State.Valid() || (d.State == model.Gone) != i.Gone {
 		return model.Backend{}, fault.New(fault.Invalid, "check which host published the item", "item %q contains no valid announcement", i.Key)
 	}
@@ -67,7 +66,7 @@
 	var messages [][]byte
 	for len(list) > 0 {
 		n := min(len(list), maxRenewals)
-		data, err := cbor.Marshal(list[:n])
+		data, err := codec.Marshal(list[:n])
 		if err != nil {
 			panic(err) // cannot fail for this type
 		}
@@ -80,7 +79,7 @@
 // DecodeRenewals parses one message from EncodeRenewals.
 func DecodeRenewals(data []byte) ([]Renewal, error) {
 	var list []Renewal
-	if err := cbor.Unmarshal(data, &list); err != nil {
+	if err := codec.Unmarshal(data, &list); err != nil {
 		return nil, fault.New(fault.Invalid, "check which host sent the renewals", "decode renewals: %w", err)
 	}
 	return list, nil
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -9,8 +9,7 @@
 	"fmt"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"greengagequay/internal/codec"
 	"greengagequay/internal/document"
 	"greengagequay/internal/fault"
 	"greengagequay/internal/settings"
@@ -70,7 +69,7 @@
 
 // Encode returns the command in CBOR, as the log stores it.
 func Encode(c Command) ([]byte, error) {
-	data, err := cbor.Marshal(c)
+	data, err := codec.Marshal(c)
 	if err != nil {
 		return nil, fmt.Errorf("encode command: %w", err)
 	}
@@ -80,7 +79,7 @@
 // Decode parses a command that Encode returned.
 func Decode(data []byte) (Command, error) {
 	var c Command
-	if err := cbor.Unmarshal(data, &c); err != nil {
+	if err := codec.Unmarshal(data, &c); err != nil {
 		return Command{}, fault.New(fault.Corrupt, "restore the data folder from a snapshot", "decode command: %w", err)
 	}
 	return c, nil
@@ -204,7 +203,7 @@
 		Document:         s.Document,
 		History:          s.history,
 	}
-	data, err := cbor.Marshal(snap)
+	data, err := codec.Marshal(snap)
 	if err != nil {
 		return nil, fmt.Errorf("encode snapshot: %w", err)
 	}
@@ -214,7 +213,7 @@
 // Restore returns the state that is encoded in the snapshot.
 func Restore(data []byte) (*State, error) {
 	var snap snapshot
-	if err := cbor.Unmarshal(data, &snap); err != nil {
+	if err := codec.Unmarshal(data, &snap); err != nil {
 		return nil, fault.New(fault.Corrupt, "take another snapshot", "decode snapshot: %w", err)
 	}
 	s := New()
--- a/internal/wal/bench_test.go
+++ b/internal/wal/bench_test.go
@@ -6,7 +6,7 @@
 	"path/filepath"
 	"testing"
 
-	"github.com/fxamacker/cbor/v2"
+	"greengagequay/internal/codec"
 
 	"greengagequay/internal/raft"
 )
@@ -79,7 +79,7 @@
 	all := benchEntries(1, 10000)
 	for b.Loop() {
 		all = append(all, benchEntries(uint64(len(all)+1), 1)...)
-		data, err := cbor.Marshal(all)
+		data, err := codec.Marshal(all)
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/internal/wal/records.go
+++ b/internal/wal/records.go
@@ -1,8 +1,7 @@
 package wal
 
 import (
-	"github.com/fxamacker/cbor/v2"
-
+	"greengagequay/internal/codec"
 	"greengagequay/internal/raft"
 )
 
@@ -55,7 +54,7 @@
 }
 
 func encode(v any) []byte {
-	data, err := cbor.Marshal(v)
+	data, err := codec.Marshal(v)
 	if err != nil {
 		panic(err) // structs of plain fields can always be encoded
 	}
@@ -76,7 +75,7 @@
 	if !ok || f.kind != kindSnapshot || f.size != len(data) {
 		return s, corrupt(name, 0, "the snapshot is malformed or its checksum is wrong", remedySnapshot)
 	}
-	if err := cbor.Unmarshal(f.payload, &s); err != nil {
+	if err := codec.Unmarshal(f.payload, &s); err != nil {
 		return s, corrupt(name, 0, "the snapshot cannot be decoded: "+err.Error(), remedySnapshot)
 	}
 	return s, nil
--- a/internal/wal/recover.go
+++ b/internal/wal/recover.go
@@ -5,8 +5,7 @@
 	"slices"
 	"strings"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"greengagequay/internal/codec"
 	"greengagequay/internal/fault"
 	"greengagequay/internal/raft"
 )
@@ -97,7 +96,7 @@
 	var b batch
 	if f.kind == kindReset {
 		var x reset
-		if err := cbor.Unmarshal(f.payload, &x); err != nil {
+		if err := codec.Unmarshal(f.payload, &x); err != nil {
 			return err
 		}
 		r.entries, r.base, r.baseTerm, r.hasBase = nil, x.Index, x.Term, true
@@ -105,7 +104,7 @@
 			r.segments[i].last = 0
 		}
 		b = x.Batch
-	} else if err := cbor.Unmarshal(f.payload, &b); err != nil {
+	} else if err := codec.Unmarshal(f.payload, &b); err != nil {
 		return err
 	}
 	r.hardState = b.toHardState()
@@ -189,7 +188,7 @@
 	}
 	var x identity
 	f, ok := parseFrame(data)
-	if !ok || f.kind != kindIdentity || cbor.Unmarshal(f.payload, &x) != nil || x.ID == 0 {
+	if !ok || f.kind != kindIdentity || codec.Unmarshal(f.payload, &x) != nil || x.ID == 0 {
 		return 0, false, corrupt(d.Path(identityName), 0, "the identity is malformed or its checksum is wrong", remedyRejoin)
 	}
 	return raft.ID(x.ID), true, nil
