--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -52,3 +52,21 @@
 	repeated := restored.Apply(2, change("a", 0))
 	c.Assert(repeated.Revision, qt.Equals, uint64(1))
 }
+
+// Guards against a change that is committed and that no host can apply.
+func TestChangeThatIsNoUTF8Decodes(t *testing.T) {
+	c := qt.New(t)
+	command := change("a", 0, set("/", settings.RequestQueue, "3"))
+	command.Change.Message = "\xff"
+	data, err := state.Encode(command)
+	c.Assert(err, qt.IsNil)
+	got, err := state.Decode(data)
+	c.Assert(err, qt.IsNil)
+	s := state.New()
+	c.Assert(s.Apply(1, got).Err == nil, qt.IsTrue)
+	snapshot, err := s.Snapshot()
+	c.Assert(err, qt.IsNil)
+	restored, err := state.Restore(snapshot)
+	c.Assert(err, qt.IsNil)
+	c.Assert(restored.ChangesAfter(0)[0].Message, qt.Equals, "\xff")
+}
