Encode no frame that the reader refuses, and fit the largest state into one

The feeds' reader refuses frames above a limit that their writer did not keep: a state above 8 MiB would have been sent, refused and asked for again, so that no follower had it. The largest document that operators can send and 10,000 records with names of 255 bytes make 13.2 MB.

--- a/internal/feed/bench_test.go
+++ b/internal/feed/bench_test.go
@@ -46,7 +46,7 @@
 // discardSink ignores all updates.
 type discardSink struct{}
 
-func (discardSink) Undecodable(string, error) {}
+func (discardSink) FrameFailed(string, error) {}
 
 func (discardSink) ConnectionChanged(string, bool) {}
 func (discardSink) Updated(string, Update)         {}
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
+	"net/netip"
 	"sync"
 	"testing"
 	"time"
@@ -12,6 +14,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"greengagequay/internal/catalog"
+	"greengagequay/internal/document"
 )
 
 // source provides one record for each revision.
@@ -70,7 +73,7 @@
 
 func (s *source) FollowerChanged(_ HostInfo, connected bool) { s.follower <- connected }
 func (s *source) Reported(_ HostInfo, r Report)              { s.reports <- r }
-func (s *source) Undecodable(_ string, err error)            { s.errors <- err }
+func (s *source) FrameFailed(_ string, err error)            { s.errors <- err }
 
 // sink queues updates and changes of connections.
 type sink struct {
@@ -85,7 +88,7 @@
 
 func (s *sink) ConnectionChanged(_ string, connected bool) { s.connected <- connected }
 func (s *sink) Updated(_ string, u Update)                 { s.updates <- u }
-func (s *sink) Undecodable(_ string, err error)            { s.errors <- err }
+func (s *sink) FrameFailed(_ string, err error)            { s.errors <- err }
 
 // receiveIDs waits for n records and returns their ids, one character each.
 func (s *sink) receiveIDs(n int) (ids string) {
@@ -201,6 +204,41 @@
 	}
 }
 
+// largestState returns a document of as many routes as 4 MiB of JSON hold, with the
+// records of 10,000 backend servers whose names are as long as a platform accepts.
+func largestState() Update {
+	const routes, servers, nameBytes = 50_000, 10_000, 255
+	u := Update{Document: &document.Document{Version: 1}}
+	for i := range routes {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, byte(i >> 8), byte(i)}), 443)
+		u.Document.Routes = append(u.Document.Routes, document.Route{
+			Address: address, Targets: []document.Target{{Service: "s", Weight: 1}, {Service: "t", Weight: 1}},
+		})
+	}
+	for i := range servers {
+		name := fmt.Sprintf("%0*d", nameBytes, i)
+		u.Records = append(u.Records, catalog.Record{Heartbeat: catalog.Heartbeat{ID: name, Service: name, Zone: name}})
+	}
+	return u
+}
+
+// Guards against a state that is too large for the frames that carry it.
+func TestLargestStateFitsIntoAFrame(t *testing.T) {
+	c := qt.New(t)
+	state := largestState()
+	frame, err := encodeFrame(state, true)
+	c.Assert(err, qt.IsNil)
+	var u Update
+	c.Assert(readFrame(bytes.NewReader(frame), &u), qt.IsNil)
+	c.Assert(u.Records, qt.HasLen, len(state.Records))
+	c.Assert(u.Document.Routes, qt.HasLen, len(state.Document.Routes))
+}
+
+func TestFrameThatIsTooLongIsNotEncoded(t *testing.T) {
+	_, err := encodeFrame(make([]byte, maxFrameBytes), true)
+	qt.Assert(t, err, qt.ErrorMatches, ".*longer than.*")
+}
+
 func FuzzFrame(f *testing.F) {
 	for _, u := range []Update{
 		{Current: true, Suspects: []Suspect{{ID: "x"}}},
--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -21,9 +21,9 @@
 	ConnectionChanged(addr string, connected bool)
 	// Updated handles an update from the host at addr.
 	Updated(addr string, u Update)
-	// Undecodable handles a frame from the host at addr that could not be decoded.
+	// FrameFailed handles a frame from the host at addr that could not be decoded.
 	// The connection ends after it.
-	Undecodable(addr string, err error)
+	FrameFailed(addr string, err error)
 }
 
 // Target is a control host to follow.
@@ -152,7 +152,7 @@
 		var u Update
 		if err := readFrame(in, &u); err != nil {
 			if isUndecodable(err) {
-				sink.Undecodable(c.addr, err)
+				sink.FrameFailed(c.addr, err)
 			}
 			break
 		}
--- a/internal/feed/frame.go
+++ b/internal/feed/frame.go
@@ -23,9 +23,9 @@
 	"greengagequay/internal/raft"
 )
 
-// maxFrameBytes limits the size of a frame before compression. A document of
-// thousands of routes fits.
-const maxFrameBytes = 8 << 20
+// maxFrameBytes limits the size of a frame before compression. The largest document
+// that operators can send fits, together with 10,000 records of the longest names.
+const maxFrameBytes = 32 << 20
 
 // Each frame starts with a header of 4 bytes: the length of its data, with
 // compressedBit set if the data is compressed (DEFLATE).
@@ -95,6 +95,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("encode frame: %w", err)
 	}
+	if len(data) > maxFrameBytes {
+		return nil, tooLong(len(data))
+	}
 	header := uint32(0)
 	if compress && len(data) >= minCompressedBytes {
 		if data, err = deflate(data); err != nil {
--- a/internal/feed/herd_bench_test.go
+++ b/internal/feed/herd_bench_test.go
@@ -46,7 +46,7 @@
 // firstStateSink counts the followers that lack the state.
 type firstStateSink struct{ waiting *sync.WaitGroup }
 
-func (firstStateSink) Undecodable(string, error) {}
+func (firstStateSink) FrameFailed(string, error) {}
 
 func (s firstStateSink) ConnectionChanged(_ string, connected bool) {
 	if connected {
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -37,9 +37,9 @@
 	FollowerChanged(follower HostInfo, connected bool)
 	// Reported handles a report from a follower.
 	Reported(follower HostInfo, r Report)
-	// Undecodable handles a report that could not be decoded. The connection ends
-	// after it.
-	Undecodable(follower string, err error)
+	// FrameFailed handles a report that could not be decoded, or an update that could
+	// not be encoded. The connection ends after it.
+	FrameFailed(follower string, err error)
 }
 
 // minUpdateInterval is the least time between two updates to one follower. Changes
@@ -118,7 +118,7 @@
 		var r Report
 		if err := readFrame(in, &r); err != nil {
 			if isUndecodable(err) {
-				s.source.Undecodable(from.Addr, err)
+				s.source.FrameFailed(from.Addr, err)
 			}
 			return
 		}
@@ -161,6 +161,7 @@
 		changed := s.source.Changed()
 		frame, next, err := s.nextFrame(hello, cursor)
 		if err != nil {
+			s.source.FrameFailed(hello.From.Addr, err)
 			return // the follower connects again and gets the whole state
 		}
 		if frame != nil {
--- a/internal/fleet/controlfeed.go
+++ b/internal/fleet/controlfeed.go
@@ -92,10 +92,10 @@
 	h.changes.notify()
 }
 
-// Undecodable handles a message of a follower or of another control host that could
-// not be decoded.
-func (h *ControlHost) Undecodable(addr string, err error) {
-	recordUndecodable(h.metrics, h.log, addr, err)
+// FrameFailed handles a message from or to the host at addr that could not be decoded
+// or encoded.
+func (h *ControlHost) FrameFailed(addr string, err error) {
+	recordBadFrame(h.metrics, h.log, addr, err)
 }
 
 // ConnectionChanged handles a followed control host that connected or
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -144,9 +144,9 @@
 	return selectHosts(h.cfg.Zone, h.cfg.Name, known)
 }
 
-// Undecodable handles a message of a control host that could not be decoded.
-func (h *EntryHost) Undecodable(addr string, err error) {
-	recordUndecodable(h.metrics, h.log, addr, err)
+// FrameFailed handles a message of a control host that could not be decoded.
+func (h *EntryHost) FrameFailed(addr string, err error) {
+	recordBadFrame(h.metrics, h.log, addr, err)
 }
 
 // ConnectionChanged handles a followed control host that connected or
--- a/internal/fleet/slowlink_test.go
+++ b/internal/fleet/slowlink_test.go
@@ -38,7 +38,7 @@
 
 func (c *controlStandin) Changed() <-chan struct{} { return c.changed }
 
-func (c *controlStandin) Undecodable(string, error) {}
+func (c *controlStandin) FrameFailed(string, error) {}
 
 func (c *controlStandin) FollowerChanged(feed.HostInfo, bool) {}
 
@@ -53,7 +53,7 @@
 	lost  int             // connections that ended after the state had arrived
 }
 
-func (s *stateSink) Undecodable(string, error) {}
+func (s *stateSink) FrameFailed(string, error) {}
 
 func (s *stateSink) ConnectionChanged(_ string, connected bool) {
 	s.mu.Lock()
