Go on after a full disk wherever it was met

Operators of like systems: the disks of counted machines were full for a few seconds each, one after another; long after the last had room again, changes were refused or unanswered, while all processes ran.

These errors are temporary now. A segment that was begun is written anew before anything else is written to the log, so a crash in between leaves either no valid segment or a whole one, both of which recovery knew already. The rest of a failed write is removed before the next one. Only a failed sync still fails the log, since the kernel may have dropped the data.

TestFullDiskAtEveryPoint has a run for each disk operation from which on the disk is full, with and without a loss of power after it.

--- a/internal/wal/fakedisk_test.go
+++ b/internal/wal/fakedisk_test.go
@@ -25,12 +25,13 @@
 	pending       []func(map[string]*inode) // changes of names since the last SyncDir
 	opsUntilCrash int                       // operations until the crash, negative for no crash
 	freeBytes     int                       // bytes until the disk is full, negative for no limit
+	opsUntilFull  int                       // operations until the disk is full, negative for never
 	syncErr       error
 	ops           int
 }
 
 func newFakeDisk() *fakeDisk {
-	return &fakeDisk{names: map[string]*inode{}, durable: map[string]*inode{}, opsUntilCrash: -1, freeBytes: -1}
+	return &fakeDisk{names: map[string]*inode{}, durable: map[string]*inode{}, opsUntilCrash: -1, freeBytes: -1, opsUntilFull: -1}
 }
 
 // op counts an operation and reports whether the host crashes in it.
@@ -42,6 +43,15 @@
 	return d.opsUntilCrash == 0
 }
 
+// full reports whether the disk takes no bytes and no new names. Each call counts as
+// an operation until it is full.
+func (d *fakeDisk) full() bool {
+	if d.opsUntilFull > 0 {
+		d.opsUntilFull--
+	}
+	return d.opsUntilFull == 0
+}
+
 func (d *fakeDisk) changeNames(change func(map[string]*inode)) error {
 	change(d.names)
 	d.pending = append(d.pending, change)
@@ -84,6 +94,9 @@
 
 func (d *fakeDisk) Open(name string) (File, error) {
 	if d.names[name] == nil {
+		if d.full() {
+			return nil, syscall.ENOSPC
+		}
 		f := &inode{}
 		if err := d.changeNames(func(m map[string]*inode) { m[name] = f }); err != nil {
 			return nil, err
@@ -103,6 +116,9 @@
 
 func (d *fakeDisk) Rename(from, to string) error {
 	f := d.names[from]
+	if d.full() {
+		return syscall.ENOSPC
+	}
 	return d.changeNames(func(m map[string]*inode) {
 		delete(m, from)
 		m[to] = f
@@ -135,6 +151,9 @@
 
 func (f *fakeFile) Write(p []byte) (int, error) {
 	n := len(p)
+	if f.d.full() {
+		n /= 2
+	}
 	if f.d.freeBytes >= 0 {
 		n = min(n, f.d.freeBytes)
 		f.d.freeBytes -= n
@@ -161,6 +180,9 @@
 }
 
 func (f *fakeFile) Truncate(size int64) error {
+	if f.d.full() {
+		return syscall.ENOSPC
+	}
 	f.f.data = slices.Clone(f.f.data[:size])
 	if f.d.op() {
 		return errCrash
--- a/internal/wal/snapshot.go
+++ b/internal/wal/snapshot.go
@@ -17,7 +17,10 @@
 	if err := writeTemporary(l.disk, temporaryName, data); err != nil {
 		return err
 	}
-	if err := renameAndSync(l.disk, temporaryName, name); err != nil {
+	if err := l.disk.Rename(temporaryName, name); err != nil {
+		return diskError(err, remedyFull)
+	}
+	if err := l.disk.SyncDir(); err != nil {
 		return l.fail(err)
 	}
 	return nil
@@ -30,7 +33,7 @@
 	if err := writeTemporary(d, temporary, data); err != nil {
 		return err
 	}
-	return renameAndSync(d, temporary, name)
+	return errors.Join(d.Rename(temporary, name), d.SyncDir())
 }
 
 func writeTemporary(d Disk, name string, data []byte) error {
@@ -45,15 +48,11 @@
 	}
 	if err := errors.Join(err, file.Close()); err != nil {
 		_ = d.Remove(name)
-		return diskError(err, "free space on the disk; the host then continues without a restart")
+		return diskError(err, remedyFull)
 	}
 	return nil
 }
 
-func renameAndSync(d Disk, temporary, name string) error {
-	return errors.Join(d.Rename(temporary, name), d.SyncDir())
-}
-
 // SaveSnapshot makes a snapshot durable and removes the older snapshots and the
 // segments that it replaces.
 func (l *Log) SaveSnapshot(s raft.Snapshot) error {
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -47,6 +47,8 @@
 	segments  []segment
 	sequence  uint64 // sequence number of the next frame
 	hardState raft.HardState
+	torn      bool  // a failed write may have left bytes after size
+	begun     bool  // the next segment may be on the disk, incomplete or complete, and nothing may be written before it
 	failed    error // set once the content of the disk is uncertain
 
 	segmentBytes int64
@@ -178,27 +180,46 @@
 	return nil
 }
 
-// startSegment creates a segment and continues the log in it.
+// startSegment creates a segment and continues the log in it. It may be called again
+// after an error, unless the log has failed.
 func (l *Log) startSegment(number uint64) error {
 	s := segment{number: number}
 	data := appendFrame(nil, kindSegment, l.sequence, encode(newBatch(l.hardState, nil)))
-	file, err := l.disk.Open(s.name())
-	if err == nil {
-		_, err = file.Write(data)
-		err = errors.Join(err, file.Sync(), l.disk.SyncDir())
-	}
+	l.begun = true
+	file, err := l.createSegment(s.name(), data)
 	if err != nil {
-		return l.fail(err) // the incomplete segment may or may not be on disk
+		return err
 	}
 	if l.file != nil {
 		_ = l.file.Close()
 	}
-	l.file, l.size = file, int64(len(data))
+	l.file, l.size, l.begun = file, int64(len(data)), false
 	l.segments = append(l.segments, s)
 	l.sequence++
 	return nil
 }
 
+// createSegment writes the file of a segment. It replaces what an earlier attempt
+// left.
+func (l *Log) createSegment(name string, data []byte) (File, error) {
+	file, err := l.disk.Open(name)
+	if err != nil {
+		return nil, diskError(err, remedyFull)
+	}
+	if err = file.Truncate(0); err == nil {
+		_, err = file.Write(data)
+	}
+	if err != nil {
+		_ = file.Close()
+		return nil, diskError(err, remedyFull)
+	}
+	if err := errors.Join(file.Sync(), l.disk.SyncDir()); err != nil {
+		_ = file.Close()
+		return nil, l.fail(err)
+	}
+	return file, nil
+}
+
 // HardState returns the last saved hard state.
 func (l *Log) HardState() raft.HardState { return l.hardState }
 
@@ -206,11 +227,6 @@
 // or a higher index. After an error, the caller must regard nothing as saved; it
 // may repeat the call if Failed returns nil.
 func (l *Log) Save(hs raft.HardState, entries []raft.Entry) error {
-	if l.failed == nil && l.size >= l.segmentBytes {
-		if err := l.startSegment(l.segments[len(l.segments)-1].number + 1); err != nil {
-			return err
-		}
-	}
 	if err := l.write(kindBatch, encode(newBatch(hs, entries))); err != nil {
 		return err
 	}
@@ -222,17 +238,33 @@
 	return nil
 }
 
+// prepare makes the last segment ready for another frame: it removes what a failed
+// write left, and starts a new segment if the last one is full.
+func (l *Log) prepare() error {
+	if l.torn {
+		if err := l.file.Truncate(l.size); err != nil {
+			return diskError(err, remedyFull)
+		}
+		l.torn = false
+	}
+	if l.begun || l.size >= l.segmentBytes {
+		return l.startSegment(l.segments[len(l.segments)-1].number + 1)
+	}
+	return nil
+}
+
 // write appends one frame and syncs it.
 func (l *Log) write(kind frameKind, payload []byte) error {
 	if l.failed != nil {
 		return l.failed
 	}
+	if err := l.prepare(); err != nil {
+		return err
+	}
 	data := appendFrame(nil, kind, l.sequence, payload)
 	if _, err := l.file.Write(data); err != nil {
-		if cut := l.file.Truncate(l.size); cut != nil {
-			return l.fail(errors.Join(err, cut))
-		}
-		return diskError(err, "free space on the disk; the host then continues without a restart")
+		l.torn = l.file.Truncate(l.size) != nil
+		return diskError(err, remedyFull)
 	}
 	// After a failed sync the kernel may have dropped the data and report
 	// success the next time, so the sync is not retried.
@@ -249,6 +281,9 @@
 	return l.failed
 }
 
+// remedyFull is the remedy of errors after which a write may be repeated.
+const remedyFull = "free space on the disk; the host then continues without a restart"
+
 func diskError(err error, remedy string) error {
 	what := "the disk returned an error"
 	if errors.Is(err, syscall.ENOSPC) {
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -46,6 +46,7 @@
 type model struct {
 	current raft.Restored
 	allowed []string
+	repair  func(error) bool // called when an operation fails; returns whether to repeat it
 }
 
 func (m *model) save(hs raft.HardState, es []raft.Entry) {
@@ -115,8 +116,10 @@
 	next := model{current: m.current, allowed: []string{describe(m.current)}}
 	change(&next)
 	m.allowed = append(next.allowed, describe(next.current))
-	if err := operation(); err != nil {
-		return err
+	for err := operation(); err != nil; err = operation() {
+		if m.repair == nil || !m.repair(err) {
+			return err
+		}
 	}
 	m.current, m.allowed = next.current, []string{describe(next.current)}
 	return nil
@@ -260,6 +263,50 @@
 	c.Assert(stored.Restored.Entries, qt.HasLen, 4)
 }
 
+// Guards against a log that stays unusable after its disk has room again. Each disk
+// operation has a run in which the disk is full from it on, until the log has
+// reported that; in every second one the host loses power then.
+func TestFullDiskAtEveryPoint(t *testing.T) {
+	for at := 1; ; at++ {
+		for _, losesPower := range []bool{false, true} {
+			if done := fullAt(t, at, losesPower); done {
+				return
+			}
+		}
+	}
+}
+
+// fullAt returns true if the workload ends before the disk is full.
+func fullAt(t *testing.T, at int, losesPower bool) bool {
+	c := qt.New(t)
+	comment := qt.Commentf("full at operation %d, then loses power: %v", at, losesPower)
+	d := newFakeDisk()
+	l, _, err := openSmallSegments(d)
+	c.Assert(err, qt.IsNil)
+	d.opsUntilFull = at
+	wasFull := false
+	m := &model{repair: func(err error) bool {
+		c.Assert(l.Failed(), qt.IsNil, qt.Commentf("%v: %v", comment, err))
+		d.opsUntilFull, wasFull = -1, true
+		return !losesPower
+	}}
+	err = workload(l, m)
+	if d.opsUntilFull > 0 {
+		return true
+	}
+	d.opsUntilFull = -1
+	if losesPower && wasFull {
+		d.crash(rand.New(rand.NewPCG(uint64(at), 1)))
+	} else {
+		c.Assert(err, qt.IsNil, comment)
+	}
+	l, stored, err := openSmallSegments(d)
+	c.Assert(err, qt.IsNil, comment)
+	c.Assert(m.allowed, qt.Any(qt.Equals), describe(stored.Restored), comment)
+	checkContinues(t, d, l, stored.Restored)
+	return false
+}
+
 func TestFailedSyncIsFinal(t *testing.T) {
 	c := qt.New(t)
 	d := newFakeDisk()
