Handle no message between a failed write and its repetition

The host stays blocked until the batch is on the disk. Raft's Advance also counts entries as saved only if they are still those of the log, as an invariant of its own. A failed write of the commit index that fails the log now fails the waiting calls too, in place of leaving them to their timeouts.

TestNoMessageIsHandledBeforeAFailedWriteIsRepeated, in the order of events of Host.loop: before, host a had x1 to x3, which were never committed, or lacked after1. TestAdvanceLeavesReplacedEntriesUnsaved fails without the check.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -239,3 +239,55 @@
 	_, err = Restore(&memDisk{files: map[string]*memFile{}}, "d", "d", []byte("no backup"), time.Time{}, s.rand.Uint64)
 	c.Assert(fault.KindOf(err), qt.Equals, fault.Corrupt)
 }
+
+// appendTo returns the first append with entries that is on its way to a host.
+func (s *sim) appendTo(h *simHost) (Envelope, bool) {
+	for _, m := range s.inFlight {
+		for _, x := range m.envelope.Messages {
+			if m.to == h.name && x.Type == raft.MsgAppend && len(x.Entries) > 0 {
+				return m.envelope, true
+			}
+		}
+	}
+	return Envelope{}, false
+}
+
+// Guards against entries that are acknowledged but not on the disk: a message must
+// not change the log between a failed write and its retry.
+func TestNoMessageIsHandledBeforeAFailedWriteIsRepeated(t *testing.T) {
+	c := qt.New(t)
+	s := newSim(t, 5)
+	s.waitApplied(s.commitChange("before", 10))
+	old := s.leader()
+	old.disk.full = true
+	for _, id := range []string{"x1", "x2", "x3"} {
+		data, err := state.Encode(setCommand(id, 99))
+		c.Assert(err, qt.IsNil)
+		old.engine.propose(data, func(state.Result, error) {})
+	}
+	old.engine.process(s.now)
+	var fromNext Envelope
+	s.stepUntil("an append of the next leader", func() bool {
+		var ok bool
+		fromNext, ok = s.appendTo(old)
+		return ok
+	})
+	s.now = max(s.now, old.engine.retryAt)
+	old.engine.tick(s.now)
+	old.engine.receive(s.now, fromNext)
+	old.disk.full = false
+	old.engine.process(s.now)
+	var last uint64
+	for i, id := range []string{"after1", "after2", "after3", "after4"} {
+		last = s.commitChange(id, 11+i)
+	}
+	s.waitApplied(last)
+	s.crash(old)
+	s.start(old)
+	s.waitApplied(s.commitChange("end", 20))
+	for _, h := range s.hosts {
+		for id, want := range map[string]bool{"x1": false, "x2": false, "x3": false, "after1": true, "after2": true, "after3": true, "after4": true} {
+			c.Check(h.hasAnswer(id), qt.Equals, want, qt.Commentf("host %s, change %s", h.name, id))
+		}
+	}
+}
--- a/internal/control/engine.go
+++ b/internal/control/engine.go
@@ -29,8 +29,8 @@
 	seedCheckedTerm      uint64                         // last term in which this host led and checked the seed
 	entriesSinceSnapshot int
 	bytesSinceSnapshot   int
-	pending              *raft.Ready // batch that is not fully persisted yet, kept for retries
-	diskErr              error
+	pending              *raft.Ready   // batch that is not fully persisted yet, kept for retries
+	diskErr              error         // why pending could not be persisted; until it is, the node must not change
 	retryAt              time.Duration // when the disk may be tried again after diskErr
 	failed               error         // permanent: the engine sends and accepts nothing more
 	leading              bool          // this host led when updateLeading was last called
@@ -156,15 +156,9 @@
 	}
 }
 
-// tick passes the time to the Raft node, and allows the next retry after a disk
-// error.
+// tick passes the time to the Raft node.
 func (e *engine) tick(now time.Duration) {
-	switch {
-	case e.failed != nil:
-		return
-	case e.pending != nil && now >= e.retryAt:
-		e.diskErr = nil // the next call of process retries the batch
-	case e.pending != nil:
+	if e.blocked() != nil {
 		return
 	}
 	e.node.Tick(now)
@@ -178,8 +172,8 @@
 	if e.hardState.Commit <= e.log.HardState().Commit || e.pending != nil {
 		return
 	}
-	if err := e.log.Save(e.hardState, nil); err != nil {
-		e.failed = e.log.Failed()
+	if err := e.log.Save(e.hardState, nil); err != nil && e.log.Failed() != nil {
+		e.fail(err)
 	}
 }
 
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -9,9 +9,13 @@
 	"greengagequay/internal/state"
 )
 
-// process persists, sends and applies the output of the Raft node.
+// process persists, sends and applies the output of the Raft node. After a disk error
+// it first persists the same batch again, once a retry is due.
 func (e *engine) process(now time.Duration) {
-	for e.blocked() == nil {
+	if e.diskErr != nil && now < e.retryAt {
+		return
+	}
+	for e.failed == nil {
 		if e.pending == nil {
 			r, ok := e.node.Ready()
 			if !ok {
@@ -24,7 +28,7 @@
 			e.handlePersistError(now, err)
 			return
 		}
-		e.pending = nil
+		e.pending, e.diskErr = nil, nil
 		e.hardState = r.HardState
 		e.sendAll(r.Messages)
 		if err := e.apply(r); err != nil {
--- a/internal/raft/ready.go
+++ b/internal/raft/ready.go
@@ -39,7 +39,8 @@
 // Advance records that the caller has persisted, sent and applied the batch.
 func (n *Node) Advance(r Ready) {
 	n.persisted = r.HardState
-	if k := len(r.Entries); k > 0 {
+	// Entries that were replaced since Ready are not on disk.
+	if k := len(r.Entries); k > 0 && n.log.matches(r.Entries[k-1].Index, r.Entries[k-1].Term) {
 		n.log.stable = r.Entries[k-1].Index
 	}
 	if k := len(r.Committed); k > 0 {
--- a/internal/raft/step_test.go
+++ b/internal/raft/step_test.go
@@ -110,3 +110,25 @@
 	c.Assert(got[0].Reject, qt.IsTrue)
 	c.Assert(got[0].Hint, qt.Equals, uint64(2)) // skips all entries of term 4
 }
+
+// Guards against entries that count as saved although others were saved in their
+// place.
+func TestAdvanceLeavesReplacedEntriesUnsaved(t *testing.T) {
+	c := qt.New(t)
+	n := newTestNode(c, 3)
+	appendOf := func(term uint64) Message {
+		return Message{
+			Type: MsgAppend, From: ID(term - 1), To: 1, Term: term, Index: 1, LogTerm: 1,
+			Entries: []Entry{{Index: 2, Term: term}, {Index: 3, Term: term}},
+		}
+	}
+	n.Step(2*testElectionTimeout, appendOf(3))
+	first, ok := n.Ready()
+	c.Assert(ok, qt.IsTrue)
+	n.Step(2*testElectionTimeout, appendOf(4))
+	n.Advance(first)
+	second, ok := n.Ready()
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(second.Entries, qt.HasLen, 2)
+	c.Assert(second.Entries[0].Term, qt.Equals, uint64(4))
+}
