--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"testing"
 	"time"
+	"unicode/utf8"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -100,3 +101,14 @@
 	l.Close(closeTimeout)
 	c.Assert(out.decoded(c)[0]["lost_lines"], qt.Equals, float64(7))
 }
+
+// Guards against a line that no reader of JSON takes.
+func TestLineIsUTF8(t *testing.T) {
+	c := qt.New(t)
+	out, now := &output{}, &clock{time.Unix(100, 0)}
+	l := New(out, "control-1", now.read)
+	l.Event("malformed", "rejected", Fields{"backend": "i-\xff", "seeds": []string{"\xfe"}, "error": fmt.Errorf("id \xfd")})
+	l.Close(closeTimeout)
+	c.Assert(utf8.ValidString(out.lines[0]), qt.IsTrue)
+	c.Assert(out.decoded(c)[0]["backend"], qt.Equals, "i-\ufffd")
+}
--- a/internal/eventlog/format.go
+++ b/internal/eventlog/format.go
@@ -3,7 +3,9 @@
 import (
 	"encoding"
 	"fmt"
+	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/go-faster/jx"
 	"github.com/sirupsen/logrus"
@@ -23,7 +25,7 @@
 	enc.FieldStart("level")
 	enc.Str(e.Level.String())
 	enc.FieldStart("msg")
-	enc.Str(e.Message)
+	writeText(enc, e.Message)
 	for name, value := range e.Data {
 		enc.FieldStart(name)
 		encode(enc, value)
@@ -32,11 +34,17 @@
 	return append(append([]byte(nil), enc.Bytes()...), '\n'), nil
 }
 
+// writeText writes a string. It replaces what is no valid UTF-8, as in the id of
+// another writer's announcement, since JSON must be valid UTF-8 (RFC 8259).
+func writeText(enc *jx.Encoder, s string) {
+	enc.Str(strings.ToValidUTF8(s, string(utf8.RuneError)))
+}
+
 // encode writes one value. Types without a case of their own are written as text.
 func encode(enc *jx.Encoder, value any) {
 	switch v := value.(type) {
 	case string:
-		enc.Str(v)
+		writeText(enc, v)
 	case bool:
 		enc.Bool(v)
 	case int:
@@ -50,7 +58,7 @@
 	case []string:
 		enc.ArrStart()
 		for _, s := range v {
-			enc.Str(s)
+			writeText(enc, s)
 		}
 		enc.ArrEnd()
 	case encoding.TextMarshaler:
@@ -58,8 +66,8 @@
 		if err != nil {
 			text = []byte(err.Error())
 		}
-		enc.Str(string(text))
+		writeText(enc, string(text))
 	default:
-		enc.Str(fmt.Sprint(v))
+		writeText(enc, fmt.Sprint(v))
 	}
 }
