--- a/internal/raft/append.go
+++ b/internal/raft/append.go
@@ -68,10 +68,18 @@
 		Type: MsgAppend, To: id, Index: prev, LogTerm: prevTerm,
 		Entries: entries, Commit: n.log.commit, Sent: n.now,
 	})
-	p.recordSent(prev + uint64(len(entries)))
+	p.recordSent(prev+uint64(len(entries)), dataBytes(entries))
 	return len(entries) > 0
 }
 
+func dataBytes(entries []Entry) int {
+	total := 0
+	for _, e := range entries {
+		total += len(e.Data)
+	}
+	return total
+}
+
 // sendSnapshot sends the latest snapshot to a member whose next entry has been
 // compacted.
 func (n *Node) sendSnapshot(id ID, p *progress) {
--- a/internal/raft/log.go
+++ b/internal/raft/log.go
@@ -110,6 +110,20 @@
 	}
 }
 
+// trailingStart returns the index before the last entries up to index that are at
+// most keep and hold at most maxBytes of data.
+func (l *entryLog) trailingStart(index, keep uint64, maxBytes int) uint64 {
+	start := index
+	for start > l.baseIndex && index-start < keep {
+		maxBytes -= len(l.entries[start-l.baseIndex-1].Data)
+		if maxBytes < 0 {
+			break
+		}
+		start--
+	}
+	return start
+}
+
 // compact drops the entries up to and including index.
 func (l *entryLog) compact(index uint64) {
 	term, ok := l.term(index)
--- a/internal/raft/progress.go
+++ b/internal/raft/progress.go
@@ -17,16 +17,30 @@
 // progress is the replication state that a leader keeps for one member.
 type progress struct {
 	state          sendState
-	match          uint64   // index of the last entry known to be on the member's disk
-	next           uint64   // index of the next entry to send
-	probeSent      bool     // probing: an append is in flight
-	inflight       []uint64 // replicating: index of the last entry of each unacknowledged append
+	match          uint64           // index of the last entry known to be on the member's disk
+	next           uint64           // index of the next entry to send
+	probeSent      bool             // probing: an append is in flight
+	inflight       []inflightAppend // replicating: the unacknowledged appends, oldest first
 	snapshotSentAt time.Duration
 	snapshotIndex  uint64        // index of the snapshot in flight
 	ackedSentAt    time.Duration // time at which the latest acknowledged message was sent
 	hasAck         bool          // ackedSentAt is valid
 }
 
+// inflightAppend is an append that the member has not acknowledged.
+type inflightAppend struct {
+	last  uint64 // index of its last entry
+	bytes int    // of entry data
+}
+
+func (p *progress) inflightBytes() int {
+	total := 0
+	for _, a := range p.inflight {
+		total += a.bytes
+	}
+	return total
+}
+
 func (p *progress) probe(next uint64) {
 	p.state, p.next, p.probeSent, p.inflight = probing, max(next, p.match+1), false, nil
 }
@@ -41,27 +55,28 @@
 	case probing:
 		return p.probeSent
 	case replicating:
-		return len(p.inflight) >= maxInflight
+		return len(p.inflight) >= maxInflight || p.inflightBytes() >= maxInflightBytes
 	}
 	return true
 }
 
-// recordSent records that an append up to the given last entry was sent.
-func (p *progress) recordSent(last uint64) {
+// recordSent records that an append up to the given last entry was sent, with the
+// given number of bytes of entry data.
+func (p *progress) recordSent(last uint64, bytes int) {
 	if p.state == probing {
 		p.probeSent = true
 		return
 	}
 	if last >= p.next {
 		p.next = last + 1
-		p.inflight = append(p.inflight, last)
+		p.inflight = append(p.inflight, inflightAppend{last, bytes})
 	}
 }
 
 // advanceMatch records that the member has all entries up to index on its disk.
 // It reports whether match has advanced.
 func (p *progress) advanceMatch(index uint64) bool {
-	p.inflight = slices.DeleteFunc(p.inflight, func(last uint64) bool { return last <= index })
+	p.inflight = slices.DeleteFunc(p.inflight, func(a inflightAppend) bool { return a.last <= index })
 	if index <= p.match {
 		return false
 	}
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -14,6 +14,7 @@
 const (
 	maxAppendBytes        = 512 << 10 // bytes of entry data in one message
 	maxInflight           = 32        // unacknowledged appends per member
+	maxInflightBytes      = 4 << 20   // bytes of entry data in the unacknowledged appends of a member
 	maxUncommittedBytes   = 32 << 20  // bytes of proposals that are not yet committed; also the limit of a Ready batch
 	snapshotRetryInterval = 5 * time.Second
 )
--- a/internal/raft/ready.go
+++ b/internal/raft/ready.go
@@ -57,8 +57,8 @@
 
 // Compact makes a snapshot from data, which must encode the state after the last
 // applied entry. It drops the entries that the snapshot covers, except for the
-// last keep ones, which members that lag only slightly can still receive. The
-// caller persists the snapshot.
+// last keep ones, which members that lag only slightly can still receive, or fewer
+// if these are larger than the snapshot. The caller persists the snapshot.
 func (n *Node) Compact(data []byte, keep uint64) (Snapshot, error) {
 	index := n.log.applied
 	term, ok := n.log.term(index)
@@ -67,9 +67,7 @@
 	}
 	s := Snapshot{Index: index, Term: term, Membership: n.log.membershipAsOf(index), Data: data}
 	n.snapshot = &s
-	if index > keep {
-		n.log.compact(index - keep)
-	}
+	n.log.compact(n.log.trailingStart(index, keep, max(len(data), maxAppendBytes)))
 	return s, nil
 }
 
--- a/internal/raft/step_test.go
+++ b/internal/raft/step_test.go
@@ -111,6 +111,42 @@
 	c.Assert(got[0].Hint, qt.Equals, uint64(2)) // skips all entries of term 4
 }
 
+// Guards against a blank member that must receive many times the size of the
+// snapshot before it holds the log, and until then can't replace a lost voter.
+func TestCompactKeepsNoMoreThanTheSnapshotHolds(t *testing.T) {
+	const documentBytes = 1 << 20
+	tests := []struct {
+		name           string
+		entryBytes     int
+		snapshotBytes  int
+		kept, trailing uint64
+	}{
+		{"large entries", documentBytes, documentBytes, 1, 50},
+		{"a large snapshot", documentBytes, 10 * documentBytes, 10, 50},
+		{"small entries", 100, documentBytes, 50, 50},
+		{"small entries and a small snapshot", 100, 100, 50, 50},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			n := newTestNode(c, 3)
+			for index := uint64(2); index <= 80; index++ {
+				e := Entry{Index: index, Term: 3, Data: make([]byte, tt.entryBytes)}
+				n.Step(2*testElectionTimeout, Message{
+					Type: MsgAppend, From: 2, To: 1, Term: 3, Index: index - 1, LogTerm: n.log.lastTerm(), Entries: []Entry{e}, Commit: index,
+				})
+				for r, ok := n.Ready(); ok; r, ok = n.Ready() {
+					n.Advance(r)
+				}
+			}
+			s, err := n.Compact(make([]byte, tt.snapshotBytes), tt.trailing)
+			c.Assert(err, qt.IsNil)
+			c.Assert(s.Index, qt.Equals, uint64(80))
+			c.Assert(n.log.entries, qt.HasLen, int(tt.kept))
+		})
+	}
+}
+
 // Guards against entries that count as saved although others were saved in their
 // place.
 func TestAdvanceLeavesReplacedEntriesUnsaved(t *testing.T) {
