--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -13,8 +13,12 @@
 	"greengagequay/internal/table"
 )
 
-// maxTail is the largest number of entries kept for peers that lag behind.
-const maxTail = 4096
+// Limits of the entries kept for peers that lag behind. A peer that needs others gets
+// a snapshot.
+const (
+	maxTail      = 4096    // entries
+	maxTailBytes = 4 << 20 // bytes of their data
+)
 
 // Entry is one committed entry of the log.
 type Entry struct {
@@ -43,7 +47,7 @@
 type Replica struct {
 	mu      sync.Mutex
 	state   *state.State
-	tail    []Entry       // latest entries, for peers that lag behind
+	tail    tail          // latest entries, for peers that lag behind
 	changed chan struct{} // closed and replaced each time a table is published
 	table   atomic.Pointer[table.Table]
 }
@@ -127,7 +131,7 @@
 		return nil // the revision never decreases
 	}
 	r.state = s
-	r.tail = nil
+	r.tail = tail{}
 	return nil
 }
 
@@ -146,10 +150,7 @@
 		}
 	}
 	result := r.state.Apply(e.Revision, cmd)
-	r.tail = append(r.tail, e)
-	if len(r.tail) > maxTail {
-		r.tail = append([]Entry(nil), r.tail[len(r.tail)-maxTail/2:]...)
-	}
+	r.tail.add(e)
 	return result, nil
 }
 
@@ -167,11 +168,9 @@
 	if revision >= r.state.Revision {
 		return b, nil
 	}
-	for i, e := range r.tail {
-		if e.Revision == revision+1 {
-			b.Entries = append(b.Entries, r.tail[i:]...)
-			return b, nil
-		}
+	if entries, ok := r.tail.after(revision); ok {
+		b.Entries = entries
+		return b, nil
 	}
 	snap, err := r.state.Snapshot()
 	if err != nil {
