--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -99,6 +99,16 @@
 // control hosts that changes for all backend servers at once.
 func (c *Catalog) SteeringRevision() uint64 { return c.steering }
 
+// Service returns the service of a backend server, and whether the catalog has a record
+// of it.
+func (c *Catalog) Service(id string) (service string, known bool) {
+	e := c.entries[id]
+	if e == nil {
+		return "", false
+	}
+	return e.Service, true
+}
+
 // ReceiveHeartbeat handles an announcement that a backend server sent to this
 // host. It reports whether it made a change that others must know.
 func (c *Catalog) ReceiveHeartbeat(now time.Duration, h Heartbeat) bool {
--- a/internal/fleet/adapter.go
+++ b/internal/fleet/adapter.go
@@ -41,8 +41,9 @@
 	Put(ctx context.Context, d *document.Document) error
 	// Get returns the newest document, or an error of kind NotCurrent.
 	Get(ctx context.Context) (*document.Document, error)
-	// Announce handles an announcement of a backend server.
-	Announce(h catalog.Heartbeat)
+	// Announce handles an announcement of a backend server. After an error it has no
+	// effect, and the backend server should announce itself to another host.
+	Announce(h catalog.Heartbeat) error
 	// Leave handles the departure of a backend server that started at born, in
 	// Unix milliseconds. A born of 0 means the latest start that this host knows of.
 	Leave(id string, born int64)
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -58,8 +58,9 @@
 	catalog          *catalog.Catalog
 	peers            map[string]feed.HostInfo // control hosts that this host follows, by feed address
 	peersRevision    uint64
-	current          bool   // whether this host reached a quorum at the last tick
-	version          uint64 // version of the document in force
+	current          bool            // whether this host reached a quorum at the last tick
+	version          uint64          // version of the document in force
+	services         map[string]bool // services that it names, nil before the first document
 	documents        recentDocuments
 	lastConnectedAt  map[raft.ID]time.Duration // when each control host was last connected, or first known as a member
 	changeInProgress bool                      // whether a membership change is in progress
@@ -186,15 +187,36 @@
 	return d, nil
 }
 
-// Announce handles an announcement of a backend server.
-func (h *ControlHost) Announce(b catalog.Heartbeat) {
+// Announce handles an announcement of a backend server. It rejects those of a service
+// that the document does not name: another writer sent them, or this host lags behind.
+func (h *ControlHost) Announce(b catalog.Heartbeat) error {
 	h.mu.Lock()
-	changed := h.catalog.ReceiveHeartbeat(h.now(), b)
+	served := h.serves(b)
+	changed := served && h.catalog.ReceiveHeartbeat(h.now(), b)
 	h.mu.Unlock()
+	if !served {
+		h.metrics.Counter("control.unserved_announcements").Inc(1)
+		h.log.Event("unserved", "rejected an announcement of a service that the document does not name", eventlog.Fields{
+			"backend": b.ID, "service": b.Service, "address": b.Address,
+		})
+		return fault.New(fault.NotFound, "add the service to the document, or announce to another control host", "service %q of backend server %q is not in the document", b.Service, b.ID)
+	}
 	if changed {
 		h.logBackend("a backend server announced a change", b.ID, b)
 		h.changes.notify()
 	}
+	return nil
+}
+
+// serves reports whether the document names the service of a backend server, or did so
+// when that server first announced itself. Without a document it reports true. The
+// caller holds mu.
+func (h *ControlHost) serves(b catalog.Heartbeat) bool {
+	if h.services == nil || h.services[b.Service] {
+		return true
+	}
+	service, known := h.catalog.Service(b.ID)
+	return known && service == b.Service
 }
 
 func (h *ControlHost) logBackend(message, id string, b catalog.Heartbeat) {
--- a/internal/fleet/controlfeed.go
+++ b/internal/fleet/controlfeed.go
@@ -153,6 +153,10 @@
 		return false
 	}
 	h.version = d.Version
+	h.services = map[string]bool{}
+	for _, name := range d.Services {
+		h.services[name] = true
+	}
 	h.documents.add(d.ForFollowers())
 	return true
 }
--- a/internal/fleet/system_test.go
+++ b/internal/fleet/system_test.go
@@ -351,6 +351,42 @@
 	c.Assert(s.get(1), qt.Equals, document(3))
 }
 
+// Guards against resets of the flows of a backend server whose address another writer
+// announces.
+func TestAnnouncementOfAnUnknownServiceTakesNoAddress(t *testing.T) {
+	c := qt.New(t)
+	s := newSystem(t)
+	s.startControls()
+	s.startEntry(4)
+	s.put(1, 7)
+	unserved := strings.Replace(string(s.heartbeat(s.backend("i-e1"), "ready")), `"orders"`, `"telemetry"`, 1)
+	for host := 1; host <= 3; host++ {
+		eventually(func() bool { // until the host has the document
+			status, _ := s.call(host, "POST", standin.HeartbeatPath("i-e1"), unserved)
+			return status == http.StatusServiceUnavailable
+		})
+	}
+	first := s.backend("i-a1")
+	s.announce(1, first, "ready")
+	s.waitReady(4)
+	s.sendTo(4, packet(1000, 0))
+	_, opening := first.receive(t)
+	token := binary.BigEndian.Uint32(opening)
+
+	foreign := strings.Replace(string(s.heartbeat(first, "ready")), `"orders"`, `"telemetry"`, 1)
+	foreign = strings.Replace(foreign, "1700000000000", "1800000000000", 1)
+	for host := 1; host <= 3; host++ {
+		for _, id := range []string{"i-f1", first.id} {
+			status, _ := s.call(host, "POST", standin.HeartbeatPath(id), foreign)
+			c.Assert(status, qt.Equals, http.StatusServiceUnavailable)
+		}
+	}
+	s.announce(2, first, "ready")
+	s.sendTo(4, packet(1000, token))
+	_, next := first.receive(t)
+	c.Assert(next, qt.DeepEquals, packet(1000, token))
+}
+
 // Guards against a document that the log accepts and no control host can apply.
 func TestLargeDocumentLeavesTheLogUsable(t *testing.T) {
 	c := qt.New(t)
