--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -145,12 +145,13 @@
 }
 
 // Leave marks a backend server as gone after it announced its departure. born is
-// the start time of the process that departs, or 0 for the latest process. Leave
-// ignores the departure of any other process. It reports whether it made a change
-// that others must know.
+// the start time of the process that departs, or 0 if the call does not say. Leave
+// ignores the departure of another process; without a start time, that of a process
+// that has not announced that it drains: the call may have been delayed and belong to
+// an earlier start. It reports whether it made a change that others must know.
 func (c *Catalog) Leave(now time.Duration, id string, born int64) bool {
 	old := c.entries[id]
-	if old == nil || old.Status == Gone || born != 0 && born != old.Born {
+	if old == nil || old.Status == Gone || !old.departs(born) {
 		return false
 	}
 	fresh := old.Record
@@ -159,6 +160,15 @@
 	return c.replace(now, old, fresh, "")
 }
 
+// departs reports whether a departure of a start at born, or 0 if that is not known,
+// may be that of this backend server.
+func (r *Record) departs(born int64) bool {
+	if born == 0 {
+		return r.Status == Draining
+	}
+	return born == r.Born
+}
+
 // admit adds a backend server that is new, restarted, at a new address or no
 // longer gone. Of two backend servers at one address, the one that started earlier
 // is gone.
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -56,6 +56,7 @@
 		{"address taken over", []any{heartbeat("x", 1, 5), heartbeat("y", 2, 1)}, "x=gone y=ready"},
 		{"late heartbeat from a taken address", []any{heartbeat("y", 2, 1), heartbeat("x", 1, 5)}, "x=gone y=ready"},
 		{"late heartbeat after the address was taken", []any{heartbeat("x", 1, 5), heartbeat("y", 2, 1), heartbeat("x", 1, 6)}, "x=gone y=ready"},
+		{"late departure of an earlier start resets no flow", []any{draining(heartbeat("x", 1, 4)), heartbeat("x", 2, 1), "x"}, "x=ready"},
 		{"unknown backend server leaves", []any{"x"}, ""},
 	}
 	for _, tt := range tests {
@@ -74,6 +75,26 @@
 	}
 }
 
+func TestDepartureOfOneStart(t *testing.T) {
+	tests := []struct {
+		name string
+		born int64
+		want string
+	}{
+		{"of the latest start", 2, "x=gone"},
+		{"of an earlier start", 1, "x=ready"},
+		{"of an unknown start", 0, "x=ready"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newCatalog("c1")
+			c.ReceiveHeartbeat(0, heartbeat("x", 2, 1))
+			c.Leave(0, "x", tt.born)
+			qt.Assert(t, statuses(c), qt.Equals, tt.want)
+		})
+	}
+}
+
 func TestOnlyChangesAreReported(t *testing.T) {
 	c := qt.New(t)
 	k := newCatalog("c1")
--- a/internal/fleet/adapter.go
+++ b/internal/fleet/adapter.go
@@ -45,7 +45,7 @@
 	// effect, and the backend server should announce itself to another host.
 	Announce(h catalog.Heartbeat) error
 	// Leave handles the departure of a backend server that started at born, in
-	// Unix milliseconds. A born of 0 means the latest start that this host knows of.
+	// Unix milliseconds, or 0 if that is not known.
 	Leave(id string, born int64)
 	// Malformed handles an announcement that could not be parsed.
 	Malformed(id string, err error)
