--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -44,10 +44,16 @@
 	Heartbeat
 	Status Status
 	Owner  string // control host that received the latest announcement
+	// Epoch counts the starts that replaced one with a higher start time, since the
+	// clock of their host had been set back.
+	Epoch uint64 `cbor:",omitempty"`
 }
 
 // supersedes reports whether r is from a later start or a later announcement.
 func (r *Record) supersedes(old *Record) bool {
+	if r.Epoch != old.Epoch {
+		return r.Epoch > old.Epoch
+	}
 	if r.Born != old.Born {
 		return r.Born > old.Born
 	}
@@ -121,6 +127,10 @@
 	if old == nil {
 		return c.admit(now, fresh, "")
 	}
+	fresh.Epoch = old.Epoch
+	if c.replacesLaterStart(now, old, h) {
+		fresh.Epoch++
+	}
 	if !fresh.supersedes(&old.Record) {
 		return false // delayed or repeated
 	}
@@ -128,13 +138,27 @@
 	return c.replace(now, old, fresh, "")
 }
 
+// IsOfEarlierStart reports whether ReceiveHeartbeat ignores an announcement because the
+// backend server has started again since.
+func (c *Catalog) IsOfEarlierStart(now time.Duration, h Heartbeat) bool {
+	known := c.entries[h.ID]
+	return known != nil && h.Born < known.Born && !c.replacesLaterStart(now, known, h)
+}
+
+// replacesLaterStart reports whether an announcement is of the present start although
+// the known one has a higher start time: that one no longer announces itself, so the
+// clock was set back between the two.
+func (c *Catalog) replacesLaterStart(now time.Duration, known *entry, h Heartbeat) bool {
+	return h.Born < known.Born && c.hasStopped(now, known)
+}
+
 // statusAfter returns the status of a backend server after a later announcement.
 // Within one start, draining is never revoked. A backend server that is gone but
 // still announces itself as ready is ready: its departure was a delayed call from
 // an earlier start with the same ID.
 func statusAfter(old, fresh *Record) Status {
 	switch {
-	case old.Born != fresh.Born:
+	case old.Born != fresh.Born || old.Epoch != fresh.Epoch:
 		return fresh.Status
 	case old.Status == Draining:
 		return max(Draining, fresh.Status)
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -75,6 +75,47 @@
 	}
 }
 
+// Guards against announcements that are acknowledged and ignored for good, because the
+// clock of the backend server's host was set back between two starts.
+func TestStartAfterTheClockWasSetBack(t *testing.T) {
+	c := qt.New(t)
+	hosts := []*Catalog{newCatalog("c1"), newCatalog("c2"), newCatalog("")}
+	sync := func(now time.Duration) {
+		for _, to := range hosts[1:] {
+			to.Merge(now, "c1", hosts[0].Since(0, ""))
+		}
+	}
+	owner := hosts[0]
+	owner.ReceiveHeartbeat(0, heartbeat("x", 2000, 7))
+	sync(0)
+	again := heartbeat("x", 1000, 1)
+	c.Assert(owner.IsOfEarlierStart(interval, again), qt.IsTrue, qt.Commentf("the later start may still run"))
+	owner.ReceiveHeartbeat(interval, again)
+	c.Assert(owner.Since(0, "")[0].Born, qt.Equals, int64(2000))
+
+	tickTo(owner, interval, 3*interval)
+	c.Assert(statuses(owner), qt.Equals, "x=silent")
+	sync(3 * interval)
+	again.Sequence++
+	c.Assert(owner.IsOfEarlierStart(3*interval, again), qt.IsFalse)
+	owner.ReceiveHeartbeat(3*interval, again)
+	sync(3 * interval)
+	last := draining(heartbeat("x", 1000, 3))
+	c.Assert(owner.IsOfEarlierStart(4*interval, last), qt.IsFalse)
+	owner.ReceiveHeartbeat(4*interval, last)
+	sync(4 * interval)
+	for _, k := range hosts {
+		c.Check(statuses(k), qt.Equals, "x=draining")
+		c.Check(k.Since(0, "")[0].Born, qt.Equals, int64(1000))
+	}
+	c.Assert(owner.IsOfEarlierStart(4*interval, heartbeat("x", 3000, 1)), qt.IsFalse)
+	owner.ReceiveHeartbeat(4*interval, heartbeat("x", 3000, 1))
+	sync(4 * interval)
+	for _, k := range hosts {
+		c.Check(statuses(k), qt.Equals, "x=ready", qt.Commentf("the next start has a higher time again"))
+	}
+}
+
 func TestDepartureOfOneStart(t *testing.T) {
 	tests := []struct {
 		name string
--- a/internal/catalog/silence.go
+++ b/internal/catalog/silence.go
@@ -67,6 +67,18 @@
 	return time.Duration(silentAfterIntervals * float64(c.cfg.Interval))
 }
 
+// hasStopped reports whether a backend server no longer announces itself, as far as
+// this host knows.
+func (c *Catalog) hasStopped(now time.Duration, e *entry) bool {
+	switch e.Status {
+	case Silent:
+		return true
+	case Gone:
+		return now-e.updatedAt > c.silentAfter()
+	}
+	return c.silentFor(now, e) > c.silentAfter()
+}
+
 // silentFor returns for how long no heartbeat of a backend server has arrived, as
 // far as this host knows. While this host is connected to the owner, it returns 0,
 // since the owner reports the silence.
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -187,19 +187,18 @@
 	return d, nil
 }
 
-// Announce handles an announcement of a backend server. It rejects those of a service
-// that the document does not name: another writer sent them, or this host lags behind.
+// Announce handles an announcement of a backend server.
 func (h *ControlHost) Announce(b catalog.Heartbeat) error {
 	h.mu.Lock()
-	served := h.serves(b)
-	changed := served && h.catalog.ReceiveHeartbeat(h.now(), b)
+	err := h.checkAnnouncement(b)
+	changed := err == nil && h.catalog.ReceiveHeartbeat(h.now(), b)
 	h.mu.Unlock()
-	if !served {
-		h.metrics.Counter("control.unserved_announcements").Inc(1)
-		h.log.Event("unserved", "rejected an announcement of a service that the document does not name", eventlog.Fields{
-			"backend": b.ID, "service": b.Service, "address": b.Address,
+	if err != nil {
+		h.metrics.Counter("control.rejected_announcements").Inc(1)
+		h.log.Event("rejected", "rejected an announcement", eventlog.Fields{
+			"backend": b.ID, "service": b.Service, "address": b.Address, "born": b.Born, "error": err.Error(),
 		})
-		return fault.New(fault.NotFound, "add the service to the document, or announce to another control host", "service %q of backend server %q is not in the document", b.Service, b.ID)
+		return err
 	}
 	if changed {
 		h.logBackend("a backend server announced a change", b.ID, b)
@@ -208,6 +207,18 @@
 	return nil
 }
 
+// checkAnnouncement returns an error for an announcement that would have no effect,
+// since none is acknowledged that has none. The caller holds mu.
+func (h *ControlHost) checkAnnouncement(b catalog.Heartbeat) error {
+	switch {
+	case !h.serves(b): // another writer sent it, or this host lags behind
+		return fault.New(fault.NotFound, "add the service to the document, or announce to another control host", "service %q of backend server %q is not in the document", b.Service, b.ID)
+	case h.catalog.IsOfEarlierStart(h.now(), b):
+		return fault.New(fault.NotCurrent, "announce again once the later start is silent", "backend server %q started again after start %d", b.ID, b.Born)
+	}
+	return nil
+}
+
 // serves reports whether the document names the service of a backend server, or did so
 // when that server first announced itself. Without a document it reports true. The
 // caller holds mu.
