--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -10,56 +10,6 @@
 	"time"
 )
 
-// Status is the availability of a backend server.
-type Status uint8
-
-// The statuses, from the most to the least available.
-const (
-	Ready    Status = iota
-	Silent          // its heartbeats do not arrive; it keeps its flows, new ones go to others if possible
-	Draining        // it keeps its flows and takes no new ones
-	Gone            // it has left, or another one runs at its address
-)
-
-var statusNames = [...]string{"ready", "silent", "draining", "gone"}
-
-// String returns the name of the status.
-func (s Status) String() string { return statusNames[s] }
-
-// Heartbeat is one announcement of a backend server.
-type Heartbeat struct {
-	ID       string
-	Service  string
-	Address  netip.AddrPort
-	Zone     string
-	Slots    int
-	Draining bool
-	WarmLeft time.Duration // remaining time for which the backend server is slow after its start
-	Born     int64         // start time of the backend server in Unix milliseconds
-	Sequence uint64        // increases with each announcement after one start
-}
-
-// Record is what catalogs exchange about one backend server.
-type Record struct {
-	Heartbeat
-	Status Status
-	Owner  string // control host that received the latest announcement
-	// Epoch counts the starts that replaced one with a higher start time, since the
-	// clock of their host had been set back.
-	Epoch uint64 `cbor:",omitempty"`
-}
-
-// supersedes reports whether r is from a later start or a later announcement.
-func (r *Record) supersedes(old *Record) bool {
-	if r.Epoch != old.Epoch {
-		return r.Epoch > old.Epoch
-	}
-	if r.Born != old.Born {
-		return r.Born > old.Born
-	}
-	return r.Sequence > old.Sequence
-}
-
 // Config holds the parameters of a catalog.
 type Config struct {
 	Self     string        // name by which other hosts know this control host, empty on an entry host
@@ -105,16 +55,6 @@
 // control hosts that changes for all backend servers at once.
 func (c *Catalog) SteeringRevision() uint64 { return c.steering }
 
-// Service returns the service of a backend server, and whether the catalog has a record
-// of it.
-func (c *Catalog) Service(id string) (service string, known bool) {
-	e := c.entries[id]
-	if e == nil {
-		return "", false
-	}
-	return e.Service, true
-}
-
 // ReceiveHeartbeat handles an announcement that a backend server sent to this
 // host. It reports whether it made a change that others must know.
 func (c *Catalog) ReceiveHeartbeat(now time.Duration, h Heartbeat) bool {
@@ -152,22 +92,6 @@
 	return h.Born < known.Born && c.hasStopped(now, known)
 }
 
-// statusAfter returns the status of a backend server after a later announcement.
-// Within one start, draining is never revoked. A backend server that is gone but
-// still announces itself as ready is ready: its departure was a delayed call from
-// an earlier start with the same ID.
-func statusAfter(old, fresh *Record) Status {
-	switch {
-	case old.Born != fresh.Born || old.Epoch != fresh.Epoch:
-		return fresh.Status
-	case old.Status == Draining:
-		return max(Draining, fresh.Status)
-	case old.Status == Gone && fresh.Status == Draining:
-		return Gone
-	}
-	return fresh.Status
-}
-
 // Leave marks a backend server as gone after it announced its departure. born is
 // the start time of the process that departs, or 0 if the call does not say. Leave
 // ignores the departure of another process; without a start time, that of a process
@@ -184,15 +108,6 @@
 	return c.replace(now, old, fresh, "")
 }
 
-// departs reports whether a departure of a start at born, or 0 if that is not known,
-// may be that of this backend server.
-func (r *Record) departs(born int64) bool {
-	if born == 0 {
-		return r.Status == Draining
-	}
-	return born == r.Born
-}
-
 // admit adds a backend server that is new, restarted, at a new address or no
 // longer gone. Of two backend servers at one address, the one that started earlier
 // is gone.
@@ -300,27 +215,3 @@
 	}
 	return false
 }
-
-// Since returns the records that changed after a revision. It leaves out records
-// whose last change came from the control host exclude, if that is not empty.
-func (c *Catalog) Since(revision uint64, exclude string) []Record {
-	var records []Record
-	for _, e := range c.entries {
-		if e.revision > revision && (exclude == "" || e.from != exclude) {
-			records = append(records, e.Record)
-		}
-	}
-	return records
-}
-
-// SteeringSince returns the records with a change after a revision that entry hosts
-// must know.
-func (c *Catalog) SteeringSince(revision uint64) []Record {
-	var records []Record
-	for _, e := range c.entries {
-		if e.steering > revision {
-			records = append(records, e.Record)
-		}
-	}
-	return records
-}
--- /dev/null
+++ b/internal/catalog/query.go
@@ -0,0 +1,35 @@
+package catalog
+
+// Service returns the service of a backend server, and whether the catalog has a record
+// of it.
+func (c *Catalog) Service(id string) (service string, known bool) {
+	e := c.entries[id]
+	if e == nil {
+		return "", false
+	}
+	return e.Service, true
+}
+
+// Since returns the records that changed after a revision. It leaves out records
+// whose last change came from the control host exclude, if that is not empty.
+func (c *Catalog) Since(revision uint64, exclude string) []Record {
+	var records []Record
+	for _, e := range c.entries {
+		if e.revision > revision && (exclude == "" || e.from != exclude) {
+			records = append(records, e.Record)
+		}
+	}
+	return records
+}
+
+// SteeringSince returns the records with a change after a revision that entry hosts
+// must know.
+func (c *Catalog) SteeringSince(revision uint64) []Record {
+	var records []Record
+	for _, e := range c.entries {
+		if e.steering > revision {
+			records = append(records, e.Record)
+		}
+	}
+	return records
+}
--- /dev/null
+++ b/internal/catalog/record.go
@@ -0,0 +1,81 @@
+package catalog
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Status is the availability of a backend server.
+type Status uint8
+
+// The statuses, from the most to the least available.
+const (
+	Ready    Status = iota
+	Silent          // its heartbeats do not arrive; it keeps its flows, new ones go to others if possible
+	Draining        // it keeps its flows and takes no new ones
+	Gone            // it has left, or another one runs at its address
+)
+
+var statusNames = [...]string{"ready", "silent", "draining", "gone"}
+
+// String returns the name of the status.
+func (s Status) String() string { return statusNames[s] }
+
+// Heartbeat is one announcement of a backend server.
+type Heartbeat struct {
+	ID       string
+	Service  string
+	Address  netip.AddrPort
+	Zone     string
+	Slots    int
+	Draining bool
+	WarmLeft time.Duration // remaining time for which the backend server is slow after its start
+	Born     int64         // start time of the backend server in Unix milliseconds
+	Sequence uint64        // increases with each announcement after one start
+}
+
+// Record is what catalogs exchange about one backend server.
+type Record struct {
+	Heartbeat
+	Status Status
+	Owner  string // control host that received the latest announcement
+	// Epoch counts the starts that replaced one with a higher start time, since the
+	// clock of their host had been set back.
+	Epoch uint64 `cbor:",omitempty"`
+}
+
+// supersedes reports whether r is from a later start or a later announcement.
+func (r *Record) supersedes(old *Record) bool {
+	if r.Epoch != old.Epoch {
+		return r.Epoch > old.Epoch
+	}
+	if r.Born != old.Born {
+		return r.Born > old.Born
+	}
+	return r.Sequence > old.Sequence
+}
+
+// statusAfter returns the status of a backend server after a later announcement.
+// Within one start, draining is never revoked. A backend server that is gone but
+// still announces itself as ready is ready: its departure was a delayed call from
+// an earlier start with the same ID.
+func statusAfter(old, fresh *Record) Status {
+	switch {
+	case old.Born != fresh.Born || old.Epoch != fresh.Epoch:
+		return fresh.Status
+	case old.Status == Draining:
+		return max(Draining, fresh.Status)
+	case old.Status == Gone && fresh.Status == Draining:
+		return Gone
+	}
+	return fresh.Status
+}
+
+// departs reports whether a departure of a start at born, or 0 if that is not known,
+// may be that of this backend server.
+func (r *Record) departs(born int64) bool {
+	if born == 0 {
+		return r.Status == Draining
+	}
+	return born == r.Born
+}
--- /dev/null
+++ b/internal/fleet/announcements.go
@@ -0,0 +1,74 @@
+package fleet
+
+import (
+	"greengagequay/internal/catalog"
+	"greengagequay/internal/eventlog"
+	"greengagequay/internal/fault"
+)
+
+// Announce handles an announcement of a backend server.
+func (h *ControlHost) Announce(b catalog.Heartbeat) error {
+	h.mu.Lock()
+	err := h.checkAnnouncement(b)
+	changed := err == nil && h.catalog.ReceiveHeartbeat(h.now(), b)
+	h.mu.Unlock()
+	if err != nil {
+		h.metrics.Counter("control.rejected_announcements").Inc(1)
+		h.log.Event("rejected", "rejected an announcement", eventlog.Fields{
+			"backend": b.ID, "service": b.Service, "address": b.Address, "born": b.Born, "error": err.Error(),
+		})
+		return err
+	}
+	if changed {
+		h.logBackend("a backend server announced a change", b.ID, b)
+		h.changes.notify()
+	}
+	return nil
+}
+
+// checkAnnouncement returns an error for an announcement that would have no effect,
+// since none is acknowledged that has none. The caller holds mu.
+func (h *ControlHost) checkAnnouncement(b catalog.Heartbeat) error {
+	switch {
+	case !h.serves(b): // another writer sent it, or this host lags behind
+		return fault.New(fault.NotFound, "add the service to the document, or announce to another control host", "service %q of backend server %q is not in the document", b.Service, b.ID)
+	case h.catalog.IsOfEarlierStart(h.now(), b):
+		return fault.New(fault.NotCurrent, "announce again once the later start is silent", "backend server %q started again after start %d", b.ID, b.Born)
+	}
+	return nil
+}
+
+// serves reports whether the document names the service of a backend server, or did so
+// when that server first announced itself. Without a document it reports true. The
+// caller holds mu.
+func (h *ControlHost) serves(b catalog.Heartbeat) bool {
+	if h.services == nil || h.services[b.Service] {
+		return true
+	}
+	service, known := h.catalog.Service(b.ID)
+	return known && service == b.Service
+}
+
+func (h *ControlHost) logBackend(message, id string, b catalog.Heartbeat) {
+	h.log.Event("backend", message, eventlog.Fields{
+		"backend": id, "service": b.Service, "address": b.Address, "zone": b.Zone,
+		"draining": b.Draining, "sequence": b.Sequence, "born": b.Born,
+	})
+}
+
+// Leave handles the departure of a backend server.
+func (h *ControlHost) Leave(id string, born int64) {
+	h.mu.Lock()
+	changed := h.catalog.Leave(h.now(), id, born)
+	h.mu.Unlock()
+	if changed {
+		h.log.Event("backend", "a backend server left", eventlog.Fields{"backend": id, "born": born})
+		h.changes.notify()
+	}
+}
+
+// Malformed counts and logs an announcement that could not be parsed.
+func (h *ControlHost) Malformed(id string, err error) {
+	h.metrics.Counter("control.malformed_announcements").Inc(1)
+	h.log.Event("malformed", "rejected a malformed announcement", eventlog.Fields{"backend": id, "error": err.Error()})
+}
