--- a/internal/raft/ready.go
+++ b/internal/raft/ready.go
@@ -58,7 +58,8 @@
 // Compact makes a snapshot from data, which must encode the state after the last
 // applied entry. It drops the entries that the snapshot covers, except for the
 // last keep ones, which members that lag only slightly can still receive, or fewer
-// if these are larger than the snapshot. The caller persists the snapshot.
+// if these are larger than the snapshot and than what may be on its way to a member.
+// The caller persists the snapshot.
 func (n *Node) Compact(data []byte, keep uint64) (Snapshot, error) {
 	index := n.log.applied
 	term, ok := n.log.term(index)
@@ -67,7 +68,7 @@
 	}
 	s := Snapshot{Index: index, Term: term, Membership: n.log.membershipAsOf(index), Data: data}
 	n.snapshot = &s
-	n.log.compact(n.log.trailingStart(index, keep, max(len(data), maxAppendBytes)))
+	n.log.compact(n.log.trailingStart(index, keep, max(len(data), maxInflightBytes)))
 	return s, nil
 }
 
