--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -116,6 +116,19 @@
 	}
 }
 
+func TestUnservedServersFreeTheirAddresses(t *testing.T) {
+	c := qt.New(t)
+	k := newCatalog("c1")
+	foreign := heartbeat("f", 2, 1)
+	foreign.Service = "telemetry"
+	k.ReceiveHeartbeat(0, heartbeat("x", 1, 1))
+	k.ReceiveHeartbeat(0, foreign)
+	c.Assert(statuses(k), qt.Equals, "f=ready x=gone")
+	k.MarkUnservedGone(0, map[string]bool{"orders": true})
+	k.ReceiveHeartbeat(0, heartbeat("x", 1, 2))
+	c.Assert(statuses(k), qt.Equals, "f=gone x=ready")
+}
+
 func TestDepartureOfOneStart(t *testing.T) {
 	tests := []struct {
 		name string
--- a/internal/fleet/announcements.go
+++ b/internal/fleet/announcements.go
@@ -39,14 +39,29 @@
 }
 
 // serves reports whether the document names the service of a backend server, or did so
-// when that server first announced itself. Without a document it reports true. The
-// caller holds mu.
+// when that server first announced itself. Without a document it reports whether the
+// deployment starts for the first time, so that there may be none yet; else the other
+// control hosts know more. The caller holds mu.
 func (h *ControlHost) serves(b catalog.Heartbeat) bool {
-	if h.services == nil || h.services[b.Service] {
-		return true
+	if h.services == nil {
+		return h.cfg.FirstStart
 	}
 	service, known := h.catalog.Service(b.ID)
-	return known && service == b.Service
+	return h.services[b.Service] || known && service == b.Service
+}
+
+// setServices sets the services that the document names. With the first document of a
+// deployment, the backend servers of all other services are gone, which were not
+// rejected before. The caller holds mu and notifies the followers.
+func (h *ControlHost) setServices(names []string) {
+	first := h.services == nil
+	h.services = make(map[string]bool, len(names))
+	for _, name := range names {
+		h.services[name] = true
+	}
+	if first && h.cfg.FirstStart {
+		h.catalog.MarkUnservedGone(h.now(), h.services)
+	}
 }
 
 func (h *ControlHost) logBackend(message, id string, b catalog.Heartbeat) {
--- a/internal/fleet/controlfeed.go
+++ b/internal/fleet/controlfeed.go
@@ -153,10 +153,7 @@
 		return false
 	}
 	h.version = d.Version
-	h.services = map[string]bool{}
-	for _, name := range d.Services {
-		h.services[name] = true
-	}
+	h.setServices(d.Services)
 	h.documents.add(d.ForFollowers())
 	return true
 }
--- a/internal/fleet/system_test.go
+++ b/internal/fleet/system_test.go
@@ -172,6 +172,37 @@
 	c.Assert(next, qt.DeepEquals, packet(1000, token))
 }
 
+// Guards against another writer's announcement that takes an address before there is a
+// document.
+func TestAnnouncementsBeforeTheFirstDocument(t *testing.T) {
+	c := qt.New(t)
+	s := newSystem(t)
+	s.startControls()
+	s.startEntry(4)
+	first := s.backend("i-a1")
+	foreign := strings.Replace(string(s.heartbeat(first, "ready")), `"orders"`, `"telemetry"`, 1)
+	foreign = strings.Replace(foreign, "1700000000000", "1800000000000", 1)
+	s.announce(1, first, "ready")
+	status, _ := s.call(1, "POST", standin.HeartbeatPath("i-f1"), foreign)
+	c.Assert(status, qt.Equals, http.StatusOK)
+	s.put(1, 7)
+	eventually(func() bool { // until the first backend server has its address back
+		s.announce(1, first, "ready")
+		s.sendTo(4, packet(1000, 0))
+		_ = first.conn.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
+		_, err := first.conn.Read(make([]byte, 2048))
+		return err == nil
+	})
+}
+
+// A control host that lost its disk can't know the services until it has the document.
+func TestBlankControlHostRejectsAnnouncements(t *testing.T) {
+	s := newSystem(t)
+	s.startControl(1, false)
+	status, _ := s.call(1, "POST", standin.HeartbeatPath("i-a1"), string(s.heartbeat(s.backend("i-a1"), "ready")))
+	qt.Assert(t, status, qt.Equals, http.StatusServiceUnavailable)
+}
+
 // Guards against a document that the log accepts and no control host can apply.
 func TestLargeDocumentLeavesTheLogUsable(t *testing.T) {
 	c := qt.New(t)
