--- a/internal/fleet/process_test.go
+++ b/internal/fleet/process_test.go
@@ -6,7 +6,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"testing"
 	"time"
 
@@ -74,39 +73,6 @@
 	return true
 }
 
-// oddEntry is an announcement of another writer, which names no backend server to
-// use.
-type oddEntry struct {
-	id       string // as in the path of the call
-	old, new string // what differs from the announcement of a backend server
-}
-
-// oddEntries are entries of other writers that operators met, and those that this
-// system once could not send on. Some name a service that does not exist.
-var oddEntries = []oddEntry{
-	{"i-%ff", `"orders"`, `"unnamed"`},
-	{"i-c3%00", `"orders"`, `"unnamed"`},
-	{"i-c3" + strings.Repeat("0", 100_000), `"orders"`, `"unnamed"`},
-	{"i-c3", `"orders"`, "\"\xff\""},
-	{"i-c3", `"z1"`, `"` + strings.Repeat("z", 60_000) + `"`},
-	{"i-c3", `"slots":2`, `"slots":2,"version":` + strings.Repeat("[", 30_000)},
-	{"i-c3", `"slots":2`, `"slots":2,"version":` + strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000)},
-	{"i-c3", `"slots":2`, `"slots":2e400`},
-	{"i-c3", `"slots":2`, `"slots":9223372036854775807`},
-	{"i-c3", `"seq":1`, `"seq":18446744073709551615`},
-	{"i-c3", `"127.0.0.1:`, `"127.0.0.1:9`},
-	{"i-c3", `"127.0.0.1:`, `"127.0.0.1:-`},
-	{"i-c3", `"127.0.0.1:`, `"[::1]:`},
-}
-
-// oddBody returns the body of an odd entry.
-func (s *system) oddBody(c *qt.C, odd oddEntry) string {
-	whole := strings.Replace(string(s.heartbeat(s.backend("i-c3"), "ready")), "[::ffff:127.0.0.1]", "127.0.0.1", 1)
-	body := strings.Replace(whole, odd.old, odd.new, 1)
-	c.Assert(body, qt.Not(qt.Equals), whole, qt.Commentf("%q", odd.old))
-	return body
-}
-
 // Guards against requests that reach a backend server after its draining was
 // acknowledged, and hosts that end, because of an odd entry among the others.
 func TestProcessesDrainBesideOddEntries(t *testing.T) {
@@ -124,8 +90,8 @@
 	s.announce(1, staying, "ready")
 	s.waitReady(4)
 
-	for _, odd := range oddEntries {
-		s.call(1, "POST", standin.HeartbeatPath(odd.id), s.oddBody(c, odd))
+	for _, odd := range standin.OddEntries("orders", s.backend("i-c3").address()) {
+		s.call(1, "POST", odd.Path, odd.Body)
 	}
 	s.announce(1, leaving, "draining")
 	port := uint16(1000)
