--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -75,8 +75,7 @@
 	}
 }
 
-// Guards against announcements that are acknowledged and ignored for good, because the
-// clock of the backend server's host was set back between two starts.
+// Guards against announcements that are acknowledged and ignored after a clock was set back.
 func TestStartAfterTheClockWasSetBack(t *testing.T) {
 	c := qt.New(t)
 	hosts := []*Catalog{newCatalog("c1"), newCatalog("c2"), newCatalog("")}
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -252,8 +252,7 @@
 	return Envelope{}, false
 }
 
-// Guards against entries that are acknowledged but not on the disk: a message must
-// not change the log between a failed write and its retry.
+// Guards against entries that are acknowledged but not on the disk.
 func TestNoMessageIsHandledBeforeAFailedWriteIsRepeated(t *testing.T) {
 	c := qt.New(t)
 	s := newSim(t, 5)
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -151,8 +151,7 @@
 	c.Assert(received.connected, qt.HasLen, 0)
 }
 
-// A frame that can't be decoded is reported on both sides; a connection that ends
-// without one is not.
+// A frame that can't be decoded is reported by the side that received it.
 func TestUndecodableFramesAreReported(t *testing.T) {
 	c := qt.New(t)
 	undecodable := []byte{0, 0, 0, 1, 0xff}
--- a/internal/fleet/process_test.go
+++ b/internal/fleet/process_test.go
@@ -77,8 +77,7 @@
 	return true
 }
 
-// Guards against requests that reach a backend server after its draining was
-// acknowledged, and hosts that end, because of an odd entry among the others.
+// Guards against acknowledged drains that have no effect, and hosts that end, after an odd entry.
 func TestProcessesDrainBesideOddEntries(t *testing.T) {
 	c := qt.New(t)
 	program := buildQuayd(t)
--- a/internal/fleet/system_test.go
+++ b/internal/fleet/system_test.go
@@ -136,8 +136,7 @@
 	c.Assert(s.get(1), qt.Equals, document(3))
 }
 
-// Guards against resets of the flows of a backend server whose address another writer
-// announces.
+// Guards against resets of the flows of a backend server whose address another one announces.
 func TestAnnouncementOfAnUnknownServiceTakesNoAddress(t *testing.T) {
 	c := qt.New(t)
 	s := newSystem(t)
@@ -172,8 +171,7 @@
 	c.Assert(next, qt.DeepEquals, packet(1000, token))
 }
 
-// Guards against another writer's announcement that takes an address before there is a
-// document.
+// Guards against another writer's announcement that takes an address for good.
 func TestAnnouncementsBeforeTheFirstDocument(t *testing.T) {
 	c := qt.New(t)
 	s := newSystem(t)
--- a/internal/raft/step_test.go
+++ b/internal/raft/step_test.go
@@ -111,8 +111,7 @@
 	c.Assert(got[0].Hint, qt.Equals, uint64(2)) // skips all entries of term 4
 }
 
-// Guards against a blank member that must receive many times the size of the
-// snapshot before it holds the log, and until then can't replace a lost voter.
+// Guards against a blank member that must receive many times the size of the snapshot.
 func TestCompactKeepsNoMoreThanTheSnapshotHolds(t *testing.T) {
 	const documentBytes = 1 << 20
 	tests := []struct {
@@ -147,8 +146,7 @@
 	}
 }
 
-// Guards against entries that count as saved although others were saved in their
-// place.
+// Guards against entries that count as saved although others were saved in their place.
 func TestAdvanceLeavesReplacedEntriesUnsaved(t *testing.T) {
 	c := qt.New(t)
 	n := newTestNode(c, 3)
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -16,8 +16,7 @@
 	return Entry{Revision: revision, Data: data}
 }
 
-// Guards against control hosts that pass their limit of memory because they keep
-// thousands of large documents.
+// Guards against hosts that keep thousands of large documents in memory.
 func TestKeptEntriesAreLimitedInBytes(t *testing.T) {
 	c := qt.New(t)
 	r := New()
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -263,11 +263,9 @@
 	c.Assert(stored.Restored.Entries, qt.HasLen, 4)
 }
 
-// Guards against a log that stays unusable after its disk has room again. Each disk
-// operation has a run in which the disk is full from it on, until the log has
-// reported that; in every second one the host loses power then.
+// Guards against a log that stays unusable after its disk has room again.
 func TestFullDiskAtEveryPoint(t *testing.T) {
-	for at := 1; ; at++ {
+	for at := 1; ; at++ { // the operation from which on the disk is full, until the log has reported that
 		for _, losesPower := range []bool{false, true} {
 			if done := fullAt(t, at, losesPower); done {
 				return
