--- a/internal/codec/codec_test.go
+++ b/internal/codec/codec_test.go
@@ -74,13 +74,15 @@
 
 // No other package may use the library with its defaults.
 func TestOnlyThisPackageUsesTheLibrary(t *testing.T) {
-	err := filepath.WalkDir("..", func(path string, entry fs.DirEntry, err error) error {
-		if err != nil || filepath.Ext(path) != ".go" || strings.HasPrefix(path, "../codec/") {
+	for _, folder := range []string{"..", "../../cmd", "../../platform"} {
+		err := filepath.WalkDir(folder, func(path string, entry fs.DirEntry, err error) error {
+			if err != nil || filepath.Ext(path) != ".go" || strings.HasPrefix(path, "../codec/") {
+				return err
+			}
+			source, err := os.ReadFile(path)
+			qt.Check(t, bytes.Contains(source, []byte("fxamacker")), qt.IsFalse, qt.Commentf("%s", path))
 			return err
-		}
-		source, err := os.ReadFile(path)
-		qt.Check(t, bytes.Contains(source, []byte("fxamacker")), qt.IsFalse, qt.Commentf("%s", path))
-		return err
-	})
-	qt.Assert(t, err, qt.IsNil)
+		})
+		qt.Assert(t, err, qt.IsNil)
+	}
 }
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -98,14 +98,21 @@
 	c.Assert(again.result.Revision, qt.Equals, first)
 }
 
+// newSimWithFullLeader returns a simulation with one change, and its leader, whose disk
+// has been full since.
+func newSimWithFullLeader(tb testing.TB) (*sim, *simHost) {
+	s := newSim(tb, 5)
+	s.waitApplied(s.commitChange("before", 10))
+	leader := s.leader()
+	leader.disk.full = true
+	return s, leader
+}
+
 // A leader with a full disk must accept nothing and lose the leadership. Once the
 // disk has space again, it must catch up without a restart.
 func TestFullDisk(t *testing.T) {
 	c := qt.New(t)
-	s := newSim(t, 5)
-	s.waitApplied(s.commitChange("before", 10))
-	old := s.leader()
-	old.disk.full = true
+	s, old := newSimWithFullLeader(t)
 	during := s.submit(old, setCommand("during", 11))
 	c.Assert(during.err, qt.ErrorMatches, "the disk is full.*")
 	refused := s.submit(old, setCommand("refused", 12))
@@ -255,10 +262,7 @@
 // Guards against entries that are acknowledged but not on the disk.
 func TestNoMessageIsHandledBeforeAFailedWriteIsRepeated(t *testing.T) {
 	c := qt.New(t)
-	s := newSim(t, 5)
-	s.waitApplied(s.commitChange("before", 10))
-	old := s.leader()
-	old.disk.full = true
+	s, old := newSimWithFullLeader(t)
 	for _, id := range []string{"x1", "x2", "x3"} {
 		data, err := state.Encode(setCommand(id, 99))
 		c.Assert(err, qt.IsNil)
--- a/internal/eventlog/format.go
+++ b/internal/eventlog/format.go
@@ -35,7 +35,7 @@
 }
 
 // writeText writes a string. It replaces what is no valid UTF-8, as in the id of
-// another writer's announcement, since JSON must be valid UTF-8 (RFC 8259).
+// an invalid announcement, since JSON must be valid UTF-8 (RFC 8259).
 func writeText(enc *jx.Encoder, s string) {
 	enc.Str(strings.ToValidUTF8(s, string(utf8.RuneError)))
 }
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -203,6 +203,28 @@
 	}
 }
 
+// oversizedSource provides an update that is longer than a frame.
+type oversizedSource struct{ *source }
+
+func (s oversizedSource) Next(_ Hello, after Cursor) (Update, Cursor, bool) {
+	return Update{Document: &document.Document{Source: make([]byte, maxFrameBytes)}}, after, true
+}
+
+// An update that can't be encoded is reported, and ends the connection.
+func TestUpdateThatIsTooLongIsReported(t *testing.T) {
+	c := qt.New(t)
+	s := newSource()
+	s.add()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	server := Serve(listener, oversizedSource{s})
+	c.Cleanup(server.Close)
+	conn, err := Follow(context.Background(), target(listener.Addr().String()), HostInfo{}, newSink())
+	c.Assert(err, qt.IsNil)
+	c.Assert(<-s.errors, qt.ErrorMatches, ".*longer than.*")
+	<-conn.Done()
+}
+
 // largestState returns a document of as many routes as 4 MiB of JSON hold, with the
 // records of 10,000 backend servers whose names are as long as a platform accepts.
 func largestState() Update {
--- a/internal/fleet/announcements.go
+++ b/internal/fleet/announcements.go
@@ -26,11 +26,13 @@
 	return nil
 }
 
-// checkAnnouncement returns an error for an announcement that would have no effect,
-// since none is acknowledged that has none. The caller holds mu.
+// checkAnnouncement returns an error for an announcement that would have no effect. It
+// must not be acknowledged: the backend server could rely on it. The caller holds mu.
 func (h *ControlHost) checkAnnouncement(b catalog.Heartbeat) error {
 	switch {
-	case !h.serves(b): // another writer sent it, or this host lags behind
+	case h.services == nil && !h.cfg.FirstStart:
+		return fault.New(fault.NotCurrent, "announce to another control host", "this control host has no document yet")
+	case !h.serves(b):
 		return fault.New(fault.NotFound, "add the service to the document, or announce to another control host", "service %q of backend server %q is not in the document", b.Service, b.ID)
 	case h.catalog.IsOfEarlierStart(h.now(), b):
 		return fault.New(fault.NotCurrent, "announce again once the later start is silent", "backend server %q started again after start %d", b.ID, b.Born)
@@ -39,15 +41,14 @@
 }
 
 // serves reports whether the document names the service of a backend server, or did so
-// when that server first announced itself. Without a document it reports whether the
-// deployment starts for the first time, so that there may be none yet; else the other
-// control hosts know more. The caller holds mu.
+// when that server first announced itself. At the first start of the deployment there
+// may be no document yet, and all services are served. The caller holds mu.
 func (h *ControlHost) serves(b catalog.Heartbeat) bool {
-	if h.services == nil {
-		return h.cfg.FirstStart
+	if h.services == nil || h.services[b.Service] {
+		return true
 	}
 	service, known := h.catalog.Service(b.ID)
-	return h.services[b.Service] || known && service == b.Service
+	return known && service == b.Service
 }
 
 // setServices sets the services that the document names. With the first document of a
--- a/internal/fleet/harness_test.go
+++ b/internal/fleet/harness_test.go
@@ -180,17 +180,11 @@
 	return &backend{id: id, conn: conn}
 }
 
-// address returns the address at which the backend server receives packets.
-func (b *backend) address() netip.AddrPort {
-	bound := b.conn.LocalAddr().(*net.UDPAddr).AddrPort()
-	return netip.AddrPortFrom(bound.Addr().Unmap(), bound.Port())
-}
-
 // heartbeat returns the body of a backend server's next announcement.
 func (s *system) heartbeat(b *backend, state string) []byte {
 	b.sequence++
 	return standin.Encode(standin.Heartbeat{
-		Service: "orders", Address: b.address(), Zone: "z1", Slots: 2,
+		Service: "orders", Address: standin.LocalAddr(b.conn), Zone: "z1", Slots: 2,
 		State: state, Sequence: b.sequence, Born: 1_700_000_000_000,
 	})
 }
--- a/internal/fleet/process_test.go
+++ b/internal/fleet/process_test.go
@@ -12,17 +12,10 @@
 	qt "github.com/frankban/quicktest"
 
 	"greengagequay/internal/fleet"
+	"greengagequay/internal/quaydtest"
 	"greengagequay/platform/standin"
 )
 
-// buildQuayd builds the program that the hosts run.
-func buildQuayd(t *testing.T) string {
-	program := filepath.Join(t.TempDir(), "quayd")
-	out, err := exec.Command("go", "build", "-o", program, "greengagequay/cmd/quayd").CombinedOutput()
-	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
-	return program
-}
-
 // process is a host that runs as a process of its own.
 type process struct{ ended chan struct{} }
 
@@ -77,10 +70,10 @@
 	return true
 }
 
-// Guards against acknowledged drains that have no effect, and hosts that end, after an odd entry.
-func TestProcessesDrainBesideOddEntries(t *testing.T) {
+// Guards against drains without effect and hosts that end, beside invalid announcements.
+func TestProcessesDrainBesideInvalidAnnouncements(t *testing.T) {
 	c := qt.New(t)
-	program := buildQuayd(t)
+	program := quaydtest.Build(t)
 	s := newSystem(t)
 	var processes []*process
 	for host := 1; host <= 3; host++ {
@@ -93,8 +86,8 @@
 	s.announce(1, staying, "ready")
 	s.waitReady(4)
 
-	for _, odd := range standin.OddEntries("orders", s.backend("i-c3").address()) {
-		s.call(1, "POST", odd.Path, odd.Body)
+	for _, invalid := range standin.InvalidAnnouncements("orders", standin.LocalAddr(s.backend("i-c3").conn)) {
+		s.call(1, "POST", invalid.Path, invalid.Body)
 	}
 	s.announce(1, leaving, "draining")
 	port := uint16(1000)
--- a/internal/fleet/system_test.go
+++ b/internal/fleet/system_test.go
@@ -13,6 +13,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"greengagequay/internal/catalog"
 	"greengagequay/platform/standin"
 )
 
@@ -136,6 +137,23 @@
 	c.Assert(s.get(1), qt.Equals, document(3))
 }
 
+// Guards against drains without effect because a record makes the feeds undecodable.
+func TestDrainBesideARecordThatIsNoUTF8(t *testing.T) {
+	s := newSystem(t)
+	s.startControls()
+	s.startEntry(4)
+	s.put(1, 7)
+	leaving, staying := s.backend("i-a1"), s.backend("i-b2")
+	s.announce(1, leaving, "ready")
+	s.announce(1, staying, "ready")
+	s.waitReady(4)
+	record := catalog.Heartbeat{ID: "i-\xff", Service: "orders", Address: standin.LocalAddr(s.backend("i-c3").conn), Zone: "z2", Born: 1}
+	eventually(func() bool { return s.controls[1].Announce(record) == nil }) // past the checks of the platform
+	s.announce(1, leaving, "draining")
+	port := uint16(1000)
+	eventually(func() bool { return s.onlyServes(4, staying, &port) })
+}
+
 // Guards against resets of the flows of a backend server whose address another one announces.
 func TestAnnouncementOfAnUnknownServiceTakesNoAddress(t *testing.T) {
 	c := qt.New(t)
@@ -171,7 +189,7 @@
 	c.Assert(next, qt.DeepEquals, packet(1000, token))
 }
 
-// Guards against another writer's announcement that takes an address for good.
+// Guards against an announcement of an unknown service that takes an address for good.
 func TestAnnouncementsBeforeTheFirstDocument(t *testing.T) {
 	c := qt.New(t)
 	s := newSystem(t)
--- a/internal/soak/backends.go
+++ b/internal/soak/backends.go
@@ -85,12 +85,6 @@
 	return nil
 }
 
-// address returns the address at which the backend server receives packets.
-func (b *backend) address() netip.AddrPort {
-	bound := b.conn.LocalAddr().(*net.UDPAddr).AddrPort()
-	return netip.AddrPortFrom(bound.Addr().Unmap(), bound.Port())
-}
-
 // pick returns a random backend server of those that have not been replaced.
 func (f *backends) pick(rng *rand.Rand) *backend {
 	f.mu.Lock()
@@ -146,7 +140,7 @@
 		b.mu.Lock()
 		b.sequence++
 		announcement := standin.Heartbeat{
-			Service: services[b.service], Address: b.address(), Zone: "zone-0", Slots: 2,
+			Service: services[b.service], Address: standin.LocalAddr(b.conn), Zone: "zone-0", Slots: 2,
 			State: "ready", Sequence: b.sequence, Born: b.incarnation,
 		}
 		if b.draining {
--- a/internal/soak/invalid.go
+++ b/internal/soak/invalid.go
@@ -8,17 +8,17 @@
 	"greengagequay/platform/standin"
 )
 
-const otherWriterInterval = 200 * time.Millisecond
+const invalidAnnouncementInterval = 200 * time.Millisecond
 
-// runOtherWriter sends odd announcements with the address of a backend server, each to
-// a random control host. They must change nothing; the checks of flows, drains and
-// documents notice if they do.
-func (s *soak) runOtherWriter() {
+// sendInvalidAnnouncements sends invalid announcements with the address of a backend
+// server, each to a random control host. They must change nothing; the checks of flows,
+// drains and documents notice if they do.
+func (s *soak) sendInvalidAnnouncements() {
 	rng := rand.New(rand.NewPCG(s.Seed, 1))
-	for s.sleep(otherWriterInterval) {
+	for s.sleep(invalidAnnouncementInterval) {
 		b := s.fleet.pick(rng)
-		odd := standin.OddEntries(services[b.service], b.address())
-		entry := odd[rng.IntN(len(odd))]
-		s.call(s.control(rng), http.MethodPost, entry.Path, []byte(entry.Body))
+		list := standin.InvalidAnnouncements(services[b.service], standin.LocalAddr(b.conn))
+		invalid := list[rng.IntN(len(list))]
+		s.call(s.control(rng), http.MethodPost, invalid.Path, []byte(invalid.Body))
 	}
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -121,7 +121,7 @@
 	s.tasks.Go(s.runOperator)
 	s.tasks.Go(s.runOperator) // a second operator submits documents concurrently
 	s.tasks.Go(s.runReader)
-	s.tasks.Go(s.runOtherWriter)
+	s.tasks.Go(s.sendInvalidAnnouncements)
 	for n := range callers {
 		c, err := s.newCaller(n)
 		if err != nil {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"greengagequay/internal/quaydtest"
 )
 
 // seeds are the seeds that CI runs: an initial one, and each seed that ever
@@ -23,15 +23,8 @@
 	{16, 10 * time.Second, "two faults stopped the same entry host concurrently, and the soak started it twice"},
 }
 
-func build(t *testing.T) string {
-	program := filepath.Join(t.TempDir(), "quayd")
-	out, err := exec.Command("go", "build", "-o", program, "greengagequay/cmd/quayd").CombinedOutput()
-	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
-	return program
-}
-
 func TestSeeds(t *testing.T) {
-	program := build(t)
+	program := quaydtest.Build(t)
 	for _, s := range seeds {
 		folder := t.TempDir()
 		report, err := Run(context.Background(), Config{Quayd: program, Folder: folder, Seed: s.seed, Length: s.length, Out: os.Stdout})
