Tell ports of UDP and TCP apart in announcements

The registry kept one map of addresses for UDP and TCP. A backend server whose UDP port has the number of another one's TCP port on the same IP counted as replaced by it, was refused with each further announcement ("address ... is in use by ..."), and never came back. Operators with several backend servers on one IP can meet it too. The map's key now has the protocol.

TestPortsOfUDPAndTCPAreSeparate failed before.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -9,7 +9,6 @@
 
 import (
 	"math"
-	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -56,9 +55,9 @@
 // Registry holds announcements. It is not safe for concurrent use.
 type Registry struct {
 	Options
-	byID         map[string]*announcement  // tombstones included
-	byAddr       map[netip.AddrPort]string // IDs of backend servers that are not gone
-	hosts        []string                  // live entry hosts of the zone, the possible lease owners
+	byID         map[string]*announcement // tombstones included
+	byEndpoint   map[endpoint]string      // IDs of backend servers that are not gone
+	hosts        []string                 // live entry hosts of the zone, the possible lease owners
 	limit        rateLimiter
 	lastTick     time.Time
 	renewed      [2]map[string]uint64 // by ID: incarnation announced to this host, in this round and in the one before
@@ -92,7 +91,7 @@
 // New returns an empty registry.
 func New(o Options) *Registry {
 	return &Registry{
-		Options: o, byID: map[string]*announcement{}, byAddr: map[netip.AddrPort]string{},
+		Options: o, byID: map[string]*announcement{}, byEndpoint: map[endpoint]string{},
 		limit:   rateLimiter{rate: hostRate, burst: hostBurst},
 		renewed: [2]map[string]uint64{{}, {}},
 	}
@@ -187,17 +186,17 @@
 	r.removeAddresses(a)
 	a.backend, a.version, a.changedAt = b, version, now
 	if b.State != model.Gone {
-		for _, addr := range addresses(b) {
-			r.byAddr[addr] = b.ID
+		for _, e := range endpoints(b) {
+			r.byEndpoint[e] = b.ID
 		}
 	}
 	a.leaseEnd = now.Add(b.Lease)
 }
 
 func (r *Registry) removeAddresses(a *announcement) {
-	for _, addr := range addresses(a.backend) {
-		if r.byAddr[addr] == a.backend.ID {
-			delete(r.byAddr, addr)
+	for _, e := range endpoints(a.backend) {
+		if r.byEndpoint[e] == a.backend.ID {
+			delete(r.byEndpoint, e)
 		}
 	}
 }
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -35,6 +35,22 @@
 	return list
 }
 
+// Guards against a backend server that is gone because another one has the number of its UDP port for TCP.
+func TestPortsOfUDPAndTCPAreSeparate(t *testing.T) {
+	c := qt.New(t)
+	r := newRegistry("a")
+	first, second := backend(1), backend(2)
+	first.Packet = netip.MustParseAddrPort("10.0.0.1:5000")
+	second.Request, second.Incarnation = first.Packet, first.Incarnation+1
+	for _, b := range []model.Backend{first, second, first} {
+		_, _, err := r.Announce(start, b)
+		c.Assert(err, qt.IsNil)
+	}
+	for _, b := range r.Backends() {
+		c.Check(b.State, qt.Equals, model.Ready, qt.Commentf("%s", b.ID))
+	}
+}
+
 func TestAnswers(t *testing.T) {
 	for _, tc := range []struct {
 		name   string
