Add messages, settings and the replicated order of an evacuation

Change: package evacuation with the orders and their rules, a command of the replicated log, the two calls, and the fields of settings, documents, packets and feeds that the next parts use. Nothing acts on the orders yet.

--- a/internal/catalog/query.go
+++ b/internal/catalog/query.go
@@ -33,3 +33,13 @@
 	}
 	return records
 }
+
+// HasZone reports whether a known backend server is in the zone.
+func (c *Catalog) HasZone(zone string) bool {
+	for _, e := range c.entries {
+		if e.Zone == zone && e.Status != Gone {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/document/delta.go
+++ b/internal/document/delta.go
@@ -12,11 +12,18 @@
 	Version uint64           // version that results
 	Removed []netip.AddrPort // addresses of the routes that are no longer there
 	Changed []Route          // routes that are new or changed
+	// Services holds the settings of all services if any of them changed, else nil.
+	Services *[]ServiceSettings `cbor:",omitempty"`
+	// IdleTimeout is that of the resulting document, in milliseconds.
+	IdleTimeout uint32 `cbor:",omitempty"`
 }
 
 // Diff returns the differences between two versions of a document.
 func Diff(from, to *Document) *Delta {
-	d := &Delta{From: from.Version, Version: to.Version}
+	d := &Delta{From: from.Version, Version: to.Version, IdleTimeout: to.IdleTimeout}
+	if !slices.Equal(from.ServiceSettings, to.ServiceSettings) {
+		d.Services = &to.ServiceSettings
+	}
 	old := from.byAddress()
 	for _, r := range to.Routes {
 		before, ok := old[r.Address]
@@ -45,7 +52,10 @@
 	for _, r := range x.Changed {
 		replaced[r.Address] = true
 	}
-	next := &Document{Version: x.Version}
+	next := &Document{Version: x.Version, ServiceSettings: d.ServiceSettings, IdleTimeout: x.IdleTimeout}
+	if x.Services != nil {
+		next.ServiceSettings = *x.Services
+	}
 	for _, r := range d.Routes {
 		if !replaced[r.Address] {
 			next.Routes = append(next.Routes, r)
@@ -68,12 +78,15 @@
 	return routes
 }
 
-// ForFollowers returns the document with only what entry hosts use: the address,
-// targets and target latency of each route.
+// ForFollowers returns the document with only what entry hosts use: the settings of
+// services, and the address, targets, target latency, timeout and priority of each
+// route.
 func (d *Document) ForFollowers() *Document {
-	short := &Document{Version: d.Version, Routes: make([]Route, len(d.Routes))}
+	short := &Document{
+		Version: d.Version, Routes: make([]Route, len(d.Routes)), ServiceSettings: d.ServiceSettings, IdleTimeout: d.IdleTimeout,
+	}
 	for i, r := range d.Routes {
-		short.Routes[i] = Route{Address: r.Address, Targets: r.Targets, Aim: r.Aim}
+		short.Routes[i] = Route{Address: r.Address, Targets: r.Targets, Aim: r.Aim, Timeout: r.Timeout, Priority: r.Priority}
 	}
 	return short
 }
--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -11,11 +11,32 @@
 
 // Document is one version of the operator's document.
 type Document struct {
-	Version     uint64
-	Routes      []Route
-	Services    []string
-	IdleTimeout uint32 // milliseconds after which an idle flow may be dropped
-	Source      []byte // the bytes that the operator sent, returned when the document is read
+	Version  uint64
+	Routes   []Route
+	Services []string
+	// ServiceSettings holds the settings of the services that have any, ordered by
+	// name.
+	ServiceSettings []ServiceSettings `cbor:",omitempty"`
+	IdleTimeout     uint32            // milliseconds after which an idle flow may be dropped
+	Source          []byte            // the bytes that the operator sent, returned when the document is read
+}
+
+// ServiceSettings holds what a document says about the backend servers of a service.
+type ServiceSettings struct {
+	Name       string
+	Warmup     uint32  `cbor:",omitempty"` // milliseconds after its start for which a backend server is cold
+	WarmupRate float64 `cbor:",omitempty"` // new flows a second that a cold backend server takes
+	MaxFlows   uint32  `cbor:",omitempty"` // connections that a backend server takes, 0 if that is not known
+}
+
+// SettingsOf returns the settings of a service, empty ones if the document has none.
+func (d *Document) SettingsOf(service string) ServiceSettings {
+	for _, s := range d.ServiceSettings {
+		if s.Name == service {
+			return s
+		}
+	}
+	return ServiceSettings{Name: service}
 }
 
 // Route sends the new flows of one address to services.
--- a/internal/feed/frame.go
+++ b/internal/feed/frame.go
@@ -15,12 +15,16 @@
 	"encoding/binary"
 	"fmt"
 	"io"
+	"time"
 
 	"greengagequay/internal/catalog"
 	"greengagequay/internal/codec"
 	"greengagequay/internal/document"
+	"greengagequay/internal/evacuation"
 	"greengagequay/internal/fault"
+	"greengagequay/internal/pace"
 	"greengagequay/internal/raft"
+	"greengagequay/internal/spread"
 )
 
 // maxFrameBytes limits the size of a frame before compression. The largest document
@@ -56,7 +60,21 @@
 // Report is a frame from a follower. An empty one is a heartbeat.
 type Report struct {
 	Suspects []Suspect
-	Sync     bool // asks for the state that Hello.Deferred deferred
+	Sync     bool          // asks for the state that Hello.Deferred deferred
+	Samples  []pace.Sample `cbor:",omitempty"` // answers of backend servers since the last report
+	// Unsampled is the number of answers that Samples leaves out.
+	Unsampled int `cbor:",omitempty"`
+}
+
+// isHeartbeat reports whether the report only shows that the follower is alive.
+func (r *Report) isHeartbeat() bool { return len(r.Suspects) == 0 && len(r.Samples) == 0 }
+
+// Evacuations holds the operator's orders about zones.
+type Evacuations struct {
+	Set evacuation.Set
+	// Ended holds, for each zone whose evacuation has ended, how long ago the sender
+	// applied that order.
+	Ended map[string]time.Duration `cbor:",omitempty"`
 }
 
 // Suspect is a backend server that left an opening packet of a caller unanswered.
@@ -77,6 +95,13 @@
 	Delta    *document.Delta    // to entry hosts, in place of Document: what changed since the last one on this connection
 	Records  []catalog.Record   // records of backend servers that changed since the last update
 	Suspects []Suspect          // to entry hosts: suspects that entry hosts reported since the last update
+	// Evacuations is sent to entry hosts in the first update with state and after each order.
+	Evacuations *Evacuations       `cbor:",omitempty"`
+	Levels      []pace.Level       `cbor:",omitempty"` // to entry hosts: shares of backend servers that changed since the last update
+	Plan        []spread.ZoneShare `cbor:",omitempty"` // to entry hosts: the whole plan, if it changed since the last update
+	HasPlan     bool               `cbor:",omitempty"` // whether Plan is set, which may be empty
+	Demands     []spread.Demand    `cbor:",omitempty"` // to control hosts: demand of the sender's followers
+	Followers   []HostInfo         `cbor:",omitempty"` // to control hosts: entry hosts that follow the sender, if they changed since the last update
 }
 
 // IsGreeting reports whether the update only identifies the sender, which has not
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -16,6 +16,12 @@
 	Peers    uint64 // revision of the list of peers
 	Current  bool   // last value of Update.Current
 	Started  bool   // whether an update was sent
+
+	Evacuations uint64 // revision of the evacuations
+	Levels      uint64 // revision of the shares of backend servers
+	Plan        uint64 // revision of the plan for zones
+	Demands     uint64 // revision of the demand, to control hosts
+	Followers   uint64 // revision of the list of followers, to control hosts
 }
 
 // Source provides the updates that a server sends, and handles reports of
@@ -125,7 +131,7 @@
 		if r.Sync {
 			want()
 		}
-		if len(r.Suspects) > 0 {
+		if !r.isHeartbeat() {
 			s.source.Reported(from, r)
 		}
 	}
--- a/internal/fleet/adapter.go
+++ b/internal/fleet/adapter.go
@@ -47,6 +47,9 @@
 	// Leave handles the departure of a backend server that started at born, in
 	// Unix milliseconds, or 0 if that is not known.
 	Leave(id string, born int64)
+	// Evacuate starts or ends the evacuation of a zone, and returns once the order is
+	// durable on a quorum.
+	Evacuate(ctx context.Context, zone string, start bool) error
 	// Malformed handles an announcement that could not be parsed.
 	Malformed(id string, err error)
 }
@@ -58,6 +61,9 @@
 	// Control returns the handler of a control host's API. It asks backend
 	// servers to send further announcements to address.
 	Control(api ControlAPI, address netip.AddrPort) http.Handler
+	// Features returns the parts of the product that the contracts of a deployment
+	// switch on.
+	Features(contracts []string) Features
 	// Readiness returns the handler of an entry host's readiness check.
 	Readiness(ready func() bool) http.Handler
 }
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -52,6 +52,24 @@
 	// host reaches them. Hosts without an entry are reached at their own address.
 	Via    map[string]string `json:"via"`
 	GraceS float64           `json:"graceS"` // on entry hosts: seconds from SIGTERM to SIGKILL
+	// Contracts names the optional promises of the deployment, in the platform's words;
+	// Adapter.Features translates them.
+	Contracts []string `json:"contracts"`
+	// Zones holds the availability zones of the deployment, as keys; the values are not
+	// used.
+	Zones map[string]string `json:"zones"`
+	// ColdOverage and ColdSlack bound the new flows of a cold backend server, see
+	// warmup.Bound. If both are 0, there is no bound.
+	ColdOverage float64 `json:"coldOverage"`
+	ColdSlack   int     `json:"coldSlack"`
+}
+
+// Features are the parts of the product that a deployment's settings switch on.
+type Features struct {
+	Evacuations bool // operators may evacuate zones; entry hosts place no flow before they know the evacuated zones
+	ColdBound   bool // Config.ColdOverage and Config.ColdSlack are in force
+	Pace        bool // shares of backend servers follow their answers, zones and priorities follow the load
+	FastStart   bool // packets are held at the start, and control hosts invite entry hosts
 }
 
 const settingsRemedy = "correct the settings file"
@@ -122,6 +140,12 @@
 	if c.StaleMs < 0 {
 		return fault.New(fault.Invalid, settingsRemedy, "field \"staleMs\" is %d, below 0", c.StaleMs)
 	}
+	if c.ColdOverage < 0 {
+		return fault.New(fault.Invalid, settingsRemedy, "field \"coldOverage\" is %g, below 0", c.ColdOverage)
+	}
+	if c.ColdSlack < 0 {
+		return fault.New(fault.Invalid, settingsRemedy, "field \"coldSlack\" is %d, below 0", c.ColdSlack)
+	}
 	if c.TolerateLoss < 0 {
 		return fault.New(fault.Invalid, settingsRemedy, "field \"tolerateLoss\" is %d, below 0", c.TolerateLoss)
 	}
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -37,6 +37,7 @@
 // and the records of backend servers to entry hosts.
 type ControlHost struct {
 	cfg          Config
+	features     Features
 	log          *eventlog.Log
 	metrics      *metrics.Registry
 	host         *control.Host
@@ -70,7 +71,7 @@
 func StartControl(cfg Config, a Adapter, log *eventlog.Log) (*ControlHost, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &ControlHost{
-		cfg: cfg, log: log, metrics: metrics.New(), replica: replica.New(), changes: newNotifier(),
+		cfg: cfg, features: a.Features(cfg.Contracts), log: log, metrics: metrics.New(), replica: replica.New(), changes: newNotifier(),
 		started: time.Now(), ctx: ctx, cancel: cancel,
 		catalog: catalog.New(catalog.Config{Self: cfg.feedAddr(), Interval: cfg.Heartbeat()}),
 		peers:   map[string]feed.HostInfo{}, lastConnectedAt: map[raft.ID]time.Duration{},
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -26,6 +26,7 @@
 // EntryHost forwards packets of callers to backend servers.
 type EntryHost struct {
 	cfg          Config
+	features     Features
 	log          *eventlog.Log
 	metrics      *metrics.Registry
 	format       PacketFormat
@@ -52,7 +53,7 @@
 func StartEntry(cfg Config, a Adapter, log *eventlog.Log) (*EntryHost, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &EntryHost{
-		cfg: cfg, log: log, metrics: metrics.New(), format: a.Packets(), started: time.Now(), ctx: ctx, cancel: cancel,
+		cfg: cfg, features: a.Features(cfg.Contracts), log: log, metrics: metrics.New(), format: a.Packets(), started: time.Now(), ctx: ctx, cancel: cancel,
 		steerer: steering.New(steering.Config{Zone: cfg.Zone, DrainFallback: cfg.drainFallback()}), catalog: catalog.New(catalog.Config{Interval: cfg.Heartbeat()}),
 		documents: map[string]*document.Document{},
 	}
--- /dev/null
+++ b/internal/spread/message.go
@@ -0,0 +1,28 @@
+// Package spread decides which part of the new flows of each availability zone goes to
+// the backend servers of other zones. A zone uses its own backend servers while they
+// have room, since bytes between zones are expensive. The package uses no I/O and no
+// clock.
+package spread
+
+// Demand is the load that callers of one zone put on a service.
+type Demand struct {
+	Service string
+	Zone    string  // zone of the entry hosts
+	Busy    float64 // mean number of requests in progress
+}
+
+// Room is what the backend servers of a service in one zone can take.
+type Room struct {
+	Service string
+	Zone    string
+	Slots   float64 // slots of all usable backend servers, weighted with their share
+}
+
+// ZoneShare is the fraction of the new flows of a service, at entry hosts of one zone,
+// that go to backend servers of another.
+type ZoneShare struct {
+	Service string
+	From    string // zone of the entry hosts
+	To      string // zone of the backend servers
+	Share   float64
+}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -1,5 +1,5 @@
-// Package state is the replicated state machine: settings, document, placement
-// and the answers to changes. Every host applies the same commands in the same
+// Package state is the replicated state machine: settings, document, evacuations,
+// placement and the answers to changes. Every host applies the same commands in the same
 // order and therefore has the same state at the same revision, which is the index
 // of the last applied log entry. The package uses no I/O, no clock and no
 // randomness.
@@ -11,6 +11,7 @@
 
 	"greengagequay/internal/codec"
 	"greengagequay/internal/document"
+	"greengagequay/internal/evacuation"
 	"greengagequay/internal/fault"
 	"greengagequay/internal/settings"
 	"greengagequay/internal/table"
@@ -39,6 +40,8 @@
 	Placement *table.Delta
 	Document  *document.Document // replaces the current document if its version is higher
 	Seed      uint64             // sets the seed of the flow hash if none is set yet
+	// Evacuation starts or ends the evacuation of a zone.
+	Evacuation *evacuation.Order `cbor:",omitempty"`
 }
 
 // Result is the answer to a command.
@@ -57,6 +60,7 @@
 	Tree             settings.Tree
 	Placement        *table.Placement
 	Document         *document.Document // document with the highest version, nil if there is none yet
+	Evacuations      evacuation.Set     // state of each zone that had an order
 	history          []Change           // oldest first
 	answers          map[string]uint64  // revisions of the changes in history, by change ID
 	tableCache       tableCache
@@ -96,6 +100,12 @@
 		return s.applyChange(revision, *c.Change)
 	case c.Document != nil:
 		s.applyDocument(c.Document)
+	case c.Evacuation != nil:
+		next, err := s.Evacuations.Apply(revision, *c.Evacuation)
+		if err != nil {
+			return Result{Revision: revision, Err: fault.From(err)}
+		}
+		s.Evacuations = next
 	case c.Placement != nil:
 		if !s.Placement.Apply(*c.Placement, revision) {
 			return Result{Revision: revision, Err: fault.New(fault.Conflict, "compute the placement again", "placement is based on revision %d, not %d", c.Placement.Base, s.Placement.Revision)}
@@ -189,6 +199,7 @@
 	Settings         []settings.Op
 	Placement        *table.Placement
 	Document         *document.Document
+	Evacuations      evacuation.Set
 	History          []Change
 }
 
@@ -201,6 +212,7 @@
 		Settings:         s.Tree.Export(),
 		Placement:        s.Placement,
 		Document:         s.Document,
+		Evacuations:      s.Evacuations,
 		History:          s.history,
 	}
 	data, err := codec.Marshal(snap)
@@ -219,7 +231,7 @@
 	s := New()
 	s.Revision, s.SettingsRevision, s.Seed = snap.Revision, snap.SettingsRevision, snap.Seed
 	s.Tree = settings.Import(snap.Settings)
-	s.Document = snap.Document
+	s.Document, s.Evacuations = snap.Document, snap.Evacuations
 	if snap.Placement != nil {
 		s.Placement = snap.Placement.Clone() // Clone replaces nil maps by empty ones
 	}
--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -15,6 +15,8 @@
 	Opening bool           // whether the packet opens a flow
 	Copy    uint32         // of an opening packet: 0 for the original, n for the nth retransmission
 	Reset   bool           // whether the caller resets the flow
+	Fin     bool           // whether the caller sends nothing after this packet
+	Ack     uint32         // number of the next byte that the caller expects; meaningless in an opening packet
 	Token   Token
 	// Sequence is the number of the first data byte in the packet, Data the
 	// number of data bytes.
