Control hosts tell each other which entry hosts follow them

Cause: a control host knew its own followers only, so it could neither name entry hosts for a cold backend server nor reach those that it had not met. Change: Update.Followers, to control hosts only, sent when the list changes.

--- a/internal/feed/frame.go
+++ b/internal/feed/frame.go
@@ -101,7 +101,7 @@
 	Plan        []spread.ZoneShare `cbor:",omitempty"` // to entry hosts: the whole plan, if it changed since the last update
 	HasPlan     bool               `cbor:",omitempty"` // whether Plan is set, which may be empty
 	Demands     []spread.Demand    `cbor:",omitempty"` // to control hosts: demand of the sender's followers
-	Followers   []HostInfo         `cbor:",omitempty"` // to control hosts: entry hosts that follow the sender, if they changed since the last update
+	Followers   *[]HostInfo        `cbor:",omitempty"` // to control hosts: entry hosts that follow the sender, if they changed since the last update
 }
 
 // IsGreeting reports whether the update only identifies the sender, which has not
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -46,6 +46,7 @@
 	controlHosts *controlHosts
 	feed         *feed.Server
 	changes      *notifier
+	entryHosts   *entryHosts
 	hint         *hintFile
 	client       *rpc.Client
 	rpc          *rpc.Server
@@ -71,7 +72,7 @@
 func StartControl(cfg Config, a Adapter, log *eventlog.Log) (*ControlHost, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &ControlHost{
-		cfg: cfg, features: a.Features(cfg.Contracts), log: log, metrics: metrics.New(), replica: replica.New(), changes: newNotifier(),
+		cfg: cfg, features: a.Features(cfg.Contracts), log: log, metrics: metrics.New(), replica: replica.New(), changes: newNotifier(), entryHosts: newEntryHosts(),
 		started: time.Now(), ctx: ctx, cancel: cancel,
 		catalog: catalog.New(catalog.Config{Self: cfg.feedAddr(), Interval: cfg.Heartbeat()}),
 		peers:   map[string]feed.HostInfo{}, lastConnectedAt: map[raft.ID]time.Duration{},
--- a/internal/fleet/controlfeed.go
+++ b/internal/fleet/controlfeed.go
@@ -33,7 +33,7 @@
 func (h *ControlHost) position(to feed.HostInfo) feed.Cursor {
 	position := feed.Cursor{Peers: h.peersRevision, Current: h.current, Started: true}
 	if to.Control { // control hosts get the document from the log, and place no flows
-		position.Revision = h.catalog.Revision()
+		position.Revision, position.Followers = h.catalog.Revision(), h.entryHosts.ownRevision()
 		return position
 	}
 	position.Revision, position.Version, position.Suspects = h.catalog.SteeringRevision(), h.version, h.suspects.revision
@@ -58,6 +58,10 @@
 	}
 	if to.From.Control {
 		u.Records = h.catalog.Since(after.Revision, to.From.Addr)
+		if next.Followers != after.Followers {
+			own := h.entryHosts.ownList()
+			u.Followers = &own
+		}
 		return u, next, true
 	}
 	u.Records = h.catalog.SteeringSince(after.Revision)
@@ -78,6 +82,9 @@
 	if follower.Control && connected {
 		h.controlHosts.recordFollower(follower)
 	}
+	if !follower.Control && h.entryHosts.followerChanged(follower, connected) {
+		h.changes.notify()
+	}
 	h.log.Event("follower", "a follower connected or disconnected", eventlog.Fields{
 		"follower": follower.Name, "address": follower.Addr, "control": follower.Control, "connected": connected,
 	})
@@ -106,6 +113,7 @@
 	if !connected {
 		delete(h.peers, addr)
 		h.peersRevision++
+		h.entryHosts.setRemote(addr, nil)
 	}
 	h.mu.Unlock()
 	h.log.Event("peer", "a followed control host connected or disconnected", eventlog.Fields{"address": addr, "connected": connected})
@@ -117,6 +125,9 @@
 	h.controlHosts.recordUpdate(addr, u)
 	h.mu.Lock()
 	changed := h.catalog.Merge(h.now(), addr, u.Records)
+	if u.Followers != nil {
+		h.entryHosts.setRemote(addr, *u.Followers)
+	}
 	if u.From.Addr != "" {
 		h.peers[addr] = u.From
 		h.peersRevision++
