Keep the admission of a cold backend server in its record

Cause: entry hosts neither learned that a backend server was cold again without a restart nor which of them may use it. Change: Record.Admission, omitted if empty. A change between cold and warm, a longer warm-up and an admission are changes for entry hosts, a shrinking WarmLeft is none. A new owner keeps the admission. Without Config.ColdBound nothing changes.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -14,6 +14,9 @@
 type Config struct {
 	Self     string        // name by which other hosts know this control host, empty on an entry host
 	Interval time.Duration // interval of heartbeats
+	// ColdBound is whether the new flows of cold backend servers are bounded. Without it,
+	// entry hosts need not know whether a backend server is cold.
+	ColdBound bool
 }
 
 // entry is a record with the local state of this host.
@@ -23,6 +26,7 @@
 	revision  uint64        // revision of the last change that other control hosts must know
 	from      string        // control host that sent that change, empty if it came from no other control host
 	steering  uint64        // revision of the last change that entry hosts must know
+	admissionState
 }
 
 // Catalog is the set of known backend servers. It is not safe for concurrent
@@ -112,6 +116,7 @@
 // longer gone. Of two backend servers at one address, the one that started earlier
 // is gone.
 func (c *Catalog) admit(now time.Duration, r Record, from string) bool {
+	c.setColdUntil(now, &r)
 	if other := c.byAddress[r.Address]; other != nil && r.Status != Gone {
 		if other.Born > r.Born {
 			r.Status = Gone
@@ -119,7 +124,7 @@
 			c.markGone(now, other)
 		}
 	}
-	e := &entry{Record: r, updatedAt: now}
+	e := &entry{Record: r, updatedAt: now, admissionState: admissionState{admittedAt: now}}
 	c.entries[r.ID] = e
 	c.recordChange(e, from)
 	if r.Status != Gone {
@@ -128,6 +133,19 @@
 	return true
 }
 
+// readmit admits a backend server in place of a known one with its id.
+func (c *Catalog) readmit(now time.Duration, old *entry, fresh Record, from string) bool {
+	known := admissionState{admittedAt: now}
+	if fresh.sameStart(&old.Record) {
+		c.updateWarmth(now, old, &fresh)
+		known = old.admissionState
+	}
+	c.remove(old)
+	changed := c.admit(now, fresh, from)
+	c.entries[fresh.ID].admissionState = known
+	return changed
+}
+
 func (c *Catalog) markGone(now time.Duration, e *entry) {
 	c.releaseAddress(e)
 	e.Status, e.updatedAt = Gone, now
@@ -161,11 +179,12 @@
 func (c *Catalog) replace(now time.Duration, old *entry, fresh Record, from string) bool {
 	revived := old.Status == Gone && fresh.Status != Gone
 	if revived || fresh.Address != old.Address || fresh.Born != old.Born {
-		c.remove(old)
-		return c.admit(now, fresh, from)
+		return c.readmit(now, old, fresh, from)
 	}
+	warmthChanged := c.updateWarmth(now, old, &fresh)
 	sameOwner := old.Owner == fresh.Owner
-	sameForSteering := old.Status == fresh.Status && old.Service == fresh.Service && old.Slots == fresh.Slots && old.Zone == fresh.Zone
+	sameForSteering := old.Status == fresh.Status && old.Service == fresh.Service && old.Slots == fresh.Slots && old.Zone == fresh.Zone &&
+		old.Admission == fresh.Admission && !warmthChanged
 	old.Record, old.updatedAt = fresh, now
 	if fresh.Status == Gone {
 		c.releaseAddress(old)
@@ -206,7 +225,10 @@
 func (c *Catalog) mergeIf(now time.Duration, from string, records []Record, include func(Status) bool) bool {
 	changed := false
 	for _, r := range records {
-		changed = include(r.Status) && c.mergeOne(now, from, r) || changed
+		if include(r.Status) {
+			changed = c.mergeOne(now, from, r) || changed
+			changed = c.mergeAdmission(now, from, r) || changed
+		}
 	}
 	return changed
 }
--- a/internal/catalog/query.go
+++ b/internal/catalog/query.go
@@ -16,7 +16,7 @@
 	var records []Record
 	for _, e := range c.entries {
 		if e.revision > revision && (exclude == "" || e.from != exclude) {
-			records = append(records, e.Record)
+			records = append(records, c.outgoing(e))
 		}
 	}
 	return records
@@ -28,7 +28,7 @@
 	var records []Record
 	for _, e := range c.entries {
 		if e.steering > revision {
-			records = append(records, e.Record)
+			records = append(records, c.outgoing(e))
 		}
 	}
 	return records
--- a/internal/catalog/record.go
+++ b/internal/catalog/record.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"greengagequay/internal/warmup"
 )
 
 // Status is the availability of a backend server.
@@ -42,6 +44,12 @@
 	// Epoch counts the starts that replaced one with a higher start time, since the
 	// clock of their host had been set back.
 	Epoch uint64 `cbor:",omitempty"`
+	// Admission names the entry hosts that may open flows while the backend server is
+	// cold. It is shared and never modified; nil if there is none.
+	Admission *warmup.Admission `cbor:",omitempty"`
+	// ColdUntil is when the backend server is no longer cold by its own report, on the
+	// clock of this host. It is not sent.
+	ColdUntil time.Duration `cbor:"-"`
 }
 
 // supersedes reports whether r is from a later start or a later announcement.
