Exclude cold backend servers that this host may not use

Cause: entry hosts placed flows on cold backend servers without a limit. Change: a cold backend server is excluded on hosts that its admission does not name and while the share of the host is used up. It is cold for WarmLeft after its record arrives, and for the warm-up time of its service after SetWarmupAfter. A flow is refused as "cold" if only such backend servers are left.

--- a/internal/steering/choose.go
+++ b/internal/steering/choose.go
@@ -41,6 +41,8 @@
 
 func (s *Steerer) rankOf(now time.Duration, server *Server, tried []string) rank {
 	switch {
+	case s.cold.excludes(now, server, s.table):
+		return rankExcluded
 	case server.Status == catalog.Draining && s.drains.startedWithin(now, server, s.cfg.DrainFallback):
 		return rankDraining
 	case server.Status >= catalog.Draining:
--- /dev/null
+++ b/internal/steering/cold.go
@@ -0,0 +1,102 @@
+package steering
+
+import (
+	"slices"
+	"time"
+
+	"greengagequay/internal/catalog"
+	"greengagequay/internal/warmup"
+)
+
+// coldServers decides which cold backend servers this host may use. It is only active
+// if a bound is set.
+type coldServers struct {
+	bound warmup.Bound
+	host  string // feed address of this host
+	gate  warmup.Gate
+	ended map[string]time.Duration // when the evacuation of a zone ended, if its backend servers may still be cold
+}
+
+func newColdServers(cfg Config) coldServers {
+	return coldServers{bound: cfg.ColdBound, host: cfg.Host, ended: map[string]time.Duration{}}
+}
+
+// SetWarmupAfter records that the evacuation of a zone ended at a time. The backend
+// servers of the zone are cold from then on for the warm-up time of their service,
+// whether or not their heartbeats say so.
+func (s *Steerer) SetWarmupAfter(endedAt time.Duration, zone string) {
+	if known, ok := s.cold.ended[zone]; !ok || endedAt > known {
+		s.cold.ended[zone] = endedAt
+	}
+}
+
+// contains reports whether a backend server is cold.
+func (c *coldServers) contains(now time.Duration, server *Server, t *Table) bool {
+	if now < server.ColdUntil {
+		return true
+	}
+	if len(c.ended) == 0 {
+		return false
+	}
+	endedAt, ok := c.ended[server.Zone]
+	return ok && now < endedAt+t.warmup(server.Service)
+}
+
+// isBounded reports whether the flows of a backend server are limited now.
+func (c *coldServers) isBounded(now time.Duration, server *Server, t *Table) bool {
+	return c.bound != warmup.Bound{} && c.contains(now, server, t)
+}
+
+// excludes reports whether this host may not use a backend server since it is cold, and
+// another host is admitted or the share of this one is used up.
+func (c *coldServers) excludes(now time.Duration, server *Server, t *Table) bool {
+	if !c.isBounded(now, server, t) {
+		return false
+	}
+	a := server.Admission
+	if a == nil || !slices.Contains(a.Hosts, c.host) {
+		return true
+	}
+	each := a.EachWithin(c.bound.PerSecond(t.settings[server.Service].WarmupRate))
+	return !c.gate.Allows(now, server.ID, server.Born, each)
+}
+
+// recordPlaced records a flow that was placed on a backend server.
+func (c *coldServers) recordPlaced(now time.Duration, server *Server, t *Table) {
+	if c.isBounded(now, server, t) {
+		c.gate.Record(now, server.ID, server.Born)
+	}
+}
+
+// expire deletes state that is no longer needed.
+func (c *coldServers) expire(now time.Duration, t *Table) {
+	c.gate.Expire(now)
+	if t.Version == 0 {
+		return // the warm-up times are not known yet
+	}
+	longest := time.Duration(0)
+	for service := range t.settings {
+		longest = max(longest, t.warmup(service))
+	}
+	for zone, endedAt := range c.ended {
+		if now >= endedAt+longest {
+			delete(c.ended, zone)
+		}
+	}
+}
+
+// warmup returns for how long a backend server of a service is cold after its start.
+func (t *Table) warmup(service string) time.Duration {
+	return time.Duration(t.settings[service].Warmup) * time.Millisecond
+}
+
+// refusal returns the reason for which a flow to a service is refused that no backend
+// server takes.
+func (s *Steerer) refusal(now time.Duration, service string) Reason {
+	for _, server := range s.table.services[service] {
+		if server.Status < catalog.Draining && s.cold.excludes(now, server, s.table) {
+			return Cold
+		}
+	}
+	return NoServer
+}
--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -6,6 +6,7 @@
 
 	"greengagequay/internal/catalog"
 	"greengagequay/internal/document"
+	"greengagequay/internal/warmup"
 )
 
 // Packet holds the properties of a packet that steering uses.
@@ -62,10 +63,12 @@
 	UnknownToken               // no backend server with this token is known
 	ServerGone                 // the flow's backend server has ended
 	OpenAlready                // a copy of an opening packet arrived after its flow was open
+	Cold                       // the backend servers of the service are cold, and this host may not use them now
 )
 
 var reasonNames = [...]string{
 	"by_token", "placed", "placed_again", "no_state", "no_route", "no_server", "unknown_token", "server_gone", "open_already",
+	"cold",
 }
 
 // String returns the name of the reason.
@@ -76,7 +79,7 @@
 	Verdict Verdict
 	Reason  Reason
 	Server  *Server // set for Forward, and for Refuse with ServerGone
-	Service string  // target service, set if Reason is Placed, PlacedAgain or NoServer
+	Service string  // target service, set if Reason is Placed, PlacedAgain, NoServer or Cold
 	// Opened is how long a flow placed by this host took to open. It is set for
 	// the first packet after the opening ones, and 0 for all others.
 	Opened time.Duration
@@ -94,6 +97,7 @@
 	lastUsed map[string]time.Duration // when a flow was last placed on a backend server, by id
 	drains   drains
 	suspects suspects
+	cold     coldServers
 }
 
 // opening is a flow that this host placed and whose caller may still retransmit
@@ -117,13 +121,15 @@
 	// if its service has no ready one. It must be well below the time for which
 	// a draining backend server keeps running.
 	DrainFallback time.Duration
+	Host          string       // feed address of the host, by which an admission names it
+	ColdBound     warmup.Bound // of the new flows of a cold backend server; the zero value is no bound
 }
 
 // New returns a steerer.
 func New(cfg Config) *Steerer {
 	return &Steerer{
 		cfg: cfg, table: Build(nil, nil), openings: map[Flow]opening{}, lastUsed: map[string]time.Duration{},
-		drains: drains{}, suspects: newSuspects(),
+		drains: drains{}, suspects: newSuspects(), cold: newColdServers(cfg),
 	}
 }
 
@@ -201,8 +207,9 @@
 	}
 	d.Server = s.choose(now, s.table.services[d.Service], before.tried)
 	if d.Server == nil {
-		return Decision{Verdict: Refuse, Reason: NoServer, Service: d.Service, Unanswered: d.Unanswered}
+		return Decision{Verdict: Refuse, Reason: s.refusal(now, d.Service), Service: d.Service, Unanswered: d.Unanswered}
 	}
+	s.cold.recordPlaced(now, d.Server, s.table)
 	s.lastUsed[d.Server.ID] = now
 	s.openings[flow] = opening{firstAt: before.firstAt, latestAt: now, server: d.Server, tried: append(before.tried, d.Server.ID)}
 	return d
@@ -228,6 +235,7 @@
 	}
 	s.suspects.expire(now)
 	s.drains.expire(now, s.cfg.DrainFallback)
+	s.cold.expire(now, s.table)
 	for id := range s.lastUsed {
 		if s.table.tokens[TokenOf(id)] == nil {
 			delete(s.lastUsed, id)
--- a/internal/steering/table.go
+++ b/internal/steering/table.go
@@ -40,6 +40,7 @@
 	routes   map[netip.AddrPort]*document.Route
 	services map[string][]*Server
 	tokens   map[Token]*Server
+	settings map[string]document.ServiceSettings // of the services that have any, by name
 }
 
 // Build returns the table of a document and the known backend servers. If the
@@ -48,6 +49,10 @@
 	t := &Table{routes: map[netip.AddrPort]*document.Route{}}
 	if d != nil {
 		t.Version = d.Version
+		t.settings = make(map[string]document.ServiceSettings, len(d.ServiceSettings))
+		for _, s := range d.ServiceSettings {
+			t.settings[s.Name] = s
+		}
 		for i := range d.Routes {
 			t.routes[d.Routes[i].Address] = &d.Routes[i]
 		}
@@ -58,7 +63,7 @@
 // WithServers returns a table of the same document with other backend servers.
 func (t *Table) WithServers(records []catalog.Record) *Table {
 	next := &Table{
-		Version: t.Version, routes: t.routes,
+		Version: t.Version, routes: t.routes, settings: t.settings,
 		services: map[string][]*Server{}, tokens: make(map[Token]*Server, len(records)),
 	}
 	for _, r := range records {
