Name the entry hosts of cold backend servers on control hosts

Cause: nothing made the admissions that entry hosts wait for. Features.ColdBound and a bound above 0 switch it on.

--- a/internal/fleet/announcements.go
+++ b/internal/fleet/announcements.go
@@ -11,6 +11,9 @@
 	h.mu.Lock()
 	err := h.checkAnnouncement(b)
 	changed := err == nil && h.catalog.ReceiveHeartbeat(h.now(), b)
+	if err == nil && b.WarmLeft > 0 {
+		changed = h.admitCold(b.ID) || changed // followers get the admission with the change
+	}
 	h.mu.Unlock()
 	if err != nil {
 		h.metrics.Counter("control.rejected_announcements").Inc(1)
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -20,6 +20,7 @@
 	"greengagequay/internal/replica"
 	"greengagequay/internal/rpc"
 	"greengagequay/internal/state"
+	"greengagequay/internal/warmup"
 )
 
 // Intervals and timeouts of a control host.
@@ -67,6 +68,7 @@
 	lastConnectedAt  map[raft.ID]time.Duration // when each control host was last connected, or first known as a member
 	changeInProgress bool                      // whether a membership change is in progress
 	suspects         suspectLog
+	cold             coldServices
 }
 
 func StartControl(cfg Config, a Adapter, log *eventlog.Log) (*ControlHost, error) {
@@ -74,7 +76,8 @@
 	h := &ControlHost{
 		cfg: cfg, features: a.Features(cfg.Contracts), log: log, metrics: metrics.New(), replica: replica.New(), changes: newNotifier(), entryHosts: newEntryHosts(),
 		started: time.Now(), ctx: ctx, cancel: cancel,
-		catalog: catalog.New(catalog.Config{Self: cfg.feedAddr(), Interval: cfg.Heartbeat()}),
+		catalog: catalog.New(catalog.Config{Self: cfg.feedAddr(), Interval: cfg.Heartbeat(), ColdBound: coldBound(cfg, a) != warmup.Bound{}}),
+		cold:    coldServices{bound: coldBound(cfg, a)},
 		peers:   map[string]feed.HostInfo{}, lastConnectedAt: map[raft.ID]time.Duration{},
 	}
 	if err := h.start(a); err != nil {
--- a/internal/fleet/controlfeed.go
+++ b/internal/fleet/controlfeed.go
@@ -165,6 +165,7 @@
 	}
 	h.version = d.Version
 	h.setServices(d.Services)
+	h.cold.document = d
 	h.documents.add(d.ForFollowers())
 	return true
 }
@@ -200,6 +201,7 @@
 	current := h.host.Status().Current
 	h.mu.Lock()
 	changed := h.catalog.Tick(h.now()) || current != h.current
+	changed = h.admitOwned() || changed
 	quorumChanged := current != h.current
 	h.current = current
 	var records []catalog.Record
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -14,6 +14,7 @@
 	"greengagequay/internal/feed"
 	"greengagequay/internal/metrics"
 	"greengagequay/internal/steering"
+	"greengagequay/internal/warmup"
 )
 
 // Intervals of an entry host.
@@ -54,7 +55,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &EntryHost{
 		cfg: cfg, features: a.Features(cfg.Contracts), log: log, metrics: metrics.New(), format: a.Packets(), started: time.Now(), ctx: ctx, cancel: cancel,
-		steerer: steering.New(steering.Config{Zone: cfg.Zone, DrainFallback: cfg.drainFallback()}), catalog: catalog.New(catalog.Config{Interval: cfg.Heartbeat()}),
+		steerer:   steering.New(steering.Config{Zone: cfg.Zone, DrainFallback: cfg.drainFallback(), Host: cfg.feedAddr(), ColdBound: coldBound(cfg, a)}),
+		catalog:   catalog.New(catalog.Config{Interval: cfg.Heartbeat(), ColdBound: coldBound(cfg, a) != warmup.Bound{}}),
 		documents: map[string]*document.Document{},
 	}
 	h.counts = newPacketCounts(h.metrics)
