Look up ended evacuations by a list instead of a map

Cause: while the evacuation of any zone had ended less than a warm-up ago, each candidate cost a map lookup: 5.5 to 6.3 us for a new flow among 120 backend servers, against 3.8 to 4.4 us before cold backend servers were excluded. Change: a short list of zones, and the warm-up time in the table's servers.

--- a/internal/steering/cold.go
+++ b/internal/steering/cold.go
@@ -14,43 +14,48 @@
 	bound warmup.Bound
 	host  string // feed address of this host
 	gate  warmup.Gate
-	ended map[string]time.Duration // when the evacuation of a zone ended, if its backend servers may still be cold
+	ended []endedEvacuation // those whose zones may still have cold backend servers
+}
+
+type endedEvacuation struct {
+	zone string
+	at   time.Duration
 }
 
 func newColdServers(cfg Config) coldServers {
-	return coldServers{bound: cfg.ColdBound, host: cfg.Host, ended: map[string]time.Duration{}}
+	return coldServers{bound: cfg.ColdBound, host: cfg.Host}
 }
 
-// SetWarmupAfter records that the evacuation of a zone ended at a time. The backend
+// SetWarmupAfter records that the latest evacuation of a zone ended at a time. The backend
 // servers of the zone are cold from then on for the warm-up time of their service,
 // whether or not their heartbeats say so.
 func (s *Steerer) SetWarmupAfter(endedAt time.Duration, zone string) {
-	if known, ok := s.cold.ended[zone]; !ok || endedAt > known {
-		s.cold.ended[zone] = endedAt
-	}
+	s.cold.ended = slices.DeleteFunc(s.cold.ended, func(e endedEvacuation) bool { return e.zone == zone })
+	s.cold.ended = append(s.cold.ended, endedEvacuation{zone: zone, at: endedAt})
 }
 
 // contains reports whether a backend server is cold.
-func (c *coldServers) contains(now time.Duration, server *Server, t *Table) bool {
+func (c *coldServers) contains(now time.Duration, server *Server) bool {
 	if now < server.ColdUntil {
 		return true
 	}
-	if len(c.ended) == 0 {
-		return false
+	for _, e := range c.ended {
+		if e.zone == server.Zone && now < e.at+server.warmup {
+			return true
+		}
 	}
-	endedAt, ok := c.ended[server.Zone]
-	return ok && now < endedAt+t.warmup(server.Service)
+	return false
 }
 
 // isBounded reports whether the flows of a backend server are limited now.
-func (c *coldServers) isBounded(now time.Duration, server *Server, t *Table) bool {
-	return c.bound != warmup.Bound{} && c.contains(now, server, t)
+func (c *coldServers) isBounded(now time.Duration, server *Server) bool {
+	return c.bound != warmup.Bound{} && c.contains(now, server)
 }
 
 // excludes reports whether this host may not use a backend server since it is cold, and
 // another host is admitted or the share of this one is used up.
 func (c *coldServers) excludes(now time.Duration, server *Server, t *Table) bool {
-	if !c.isBounded(now, server, t) {
+	if !c.isBounded(now, server) {
 		return false
 	}
 	a := server.Admission
@@ -62,8 +67,8 @@
 }
 
 // recordPlaced records a flow that was placed on a backend server.
-func (c *coldServers) recordPlaced(now time.Duration, server *Server, t *Table) {
-	if c.isBounded(now, server, t) {
+func (c *coldServers) recordPlaced(now time.Duration, server *Server) {
+	if c.isBounded(now, server) {
 		c.gate.Record(now, server.ID, server.Born)
 	}
 }
@@ -78,11 +83,7 @@
 	for service := range t.settings {
 		longest = max(longest, t.warmup(service))
 	}
-	for zone, endedAt := range c.ended {
-		if now >= endedAt+longest {
-			delete(c.ended, zone)
-		}
-	}
+	c.ended = slices.DeleteFunc(c.ended, func(e endedEvacuation) bool { return now >= e.at+longest })
 }
 
 // warmup returns for how long a backend server of a service is cold after its start.
--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -209,7 +209,7 @@
 	if d.Server == nil {
 		return Decision{Verdict: Refuse, Reason: s.refusal(now, d.Service), Service: d.Service, Unanswered: d.Unanswered}
 	}
-	s.cold.recordPlaced(now, d.Server, s.table)
+	s.cold.recordPlaced(now, d.Server)
 	s.lastUsed[d.Server.ID] = now
 	s.openings[flow] = opening{firstAt: before.firstAt, latestAt: now, server: d.Server, tried: append(before.tried, d.Server.ID)}
 	return d
--- a/internal/steering/table.go
+++ b/internal/steering/table.go
@@ -30,7 +30,8 @@
 // Server is a backend server in a table.
 type Server struct {
 	catalog.Record
-	Token Token
+	Token  Token
+	warmup time.Duration // how long it is cold after a start, as its service names it
 }
 
 // Table holds the routes and backend servers known to an entry host. It is
@@ -67,7 +68,7 @@
 		services: map[string][]*Server{}, tokens: make(map[Token]*Server, len(records)),
 	}
 	for _, r := range records {
-		next.add(&Server{Record: r, Token: TokenOf(r.ID)})
+		next.add(&Server{Record: r, Token: TokenOf(r.ID), warmup: next.warmup(r.Service)})
 	}
 	return next
 }
