Send the copy after a held opening packet to the same server

Cause: an opening packet that waited at the host may be forwarded a few milliseconds before its caller sends the next copy. The copy would count as proof that the backend server left the packet unanswered, and would go to another server. Change: Steerer.DecideHeld marks such flows; a copy within 200 ms goes to the same server, without a suspicion. The opening time counts from the release. Result: TestCopyRightAfterAHeldPacketGoesToTheSameServer; other decisions unchanged.

--- /dev/null
+++ b/internal/steering/held.go
@@ -0,0 +1,38 @@
+package steering
+
+import (
+	"time"
+
+	"greengagequay/internal/catalog"
+)
+
+// minAnswerTime is the time for which a backend server is expected to answer an opening
+// packet. A caller sends the first copy after it.
+const minAnswerTime = 200 * time.Millisecond
+
+// DecideHeld is Decide for a packet that has waited at this host. The time for which it
+// waited does not count as time that the backend server took.
+func (s *Steerer) DecideHeld(now time.Duration, p Packet) Decision {
+	d := s.Decide(now, p)
+	if p.Opening && d.Verdict == Forward {
+		o := s.openings[p.Flow()]
+		o.held = true
+		s.openings[p.Flow()] = o
+	}
+	return d
+}
+
+// serverOfHeld returns the backend server of an opening packet that waited at this host
+// and was forwarded less than minAnswerTime ago. The next copy goes to the same server,
+// which has had no time to answer. It returns nil if there is no such packet, or if the
+// server takes no new flows.
+func (s *Steerer) serverOfHeld(now time.Duration, o opening) *Server {
+	if !o.held || now-o.latestAt >= minAnswerTime {
+		return nil
+	}
+	server := s.table.tokens[o.server.Token]
+	if server == nil || server.Born != o.server.Born || server.Status >= catalog.Draining {
+		return nil
+	}
+	return server
+}
--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -104,6 +104,7 @@
 	server   *Server       // backend server to which the latest opening packet went
 	tried    []string      // ids of all backend servers to which opening packets went
 	answered bool          // whether a later packet showed that the flow is open
+	held     bool          // whether the latest opening packet waited at this host
 }
 
 // openingRetention is how long a placed flow is remembered after its latest
@@ -194,6 +195,10 @@
 		return Decision{Verdict: Drop, Reason: OpenAlready} // the copy arrived late
 	}
 	d := Decision{Verdict: Forward, Reason: Placed, Service: serviceOf(route, flow)}
+	if server := s.serverOfHeld(now, before); server != nil {
+		d.Reason, d.Server = PlacedAgain, server
+		return d
+	}
 	if before.server != nil {
 		d.Reason, d.Unanswered = PlacedAgain, s.recordUnanswered(now, before.server)
 	} else {
--- a/internal/steering/steering_test.go
+++ b/internal/steering/steering_test.go
@@ -282,3 +282,22 @@
 	s := newTestSteerer(t, backend("x1", "orders", "a", catalog.Draining))
 	qt.Assert(t, describe(s.Decide(0, syn(1, orders, 0))), qt.Equals, "refuse no_server")
 }
+
+// Guards against suspicions of backend servers that had no time to answer, because the
+// opening packet waited at the host until just before its next copy.
+func TestCopyRightAfterAHeldPacketGoesToTheSameServer(t *testing.T) {
+	c := qt.New(t)
+	s := newTestSteerer(t, backend("x1", "orders", "a", catalog.Ready), backend("x2", "orders", "a", catalog.Ready))
+	first := s.DecideHeld(590*time.Millisecond, syn(1, orders, 1))
+	c.Assert(first.Reason, qt.Equals, Placed)
+	second := s.Decide(600*time.Millisecond, syn(1, orders, 2))
+	c.Assert(describe(second), qt.Equals, "forward placed_again "+first.Server.ID)
+	c.Assert(s.suspects.byID, qt.HasLen, 0)
+	open := Packet{Caller: callerAddress(1), Route: orders, Token: first.Server.Token}
+	c.Assert(s.Decide(605*time.Millisecond, open).Opened, qt.Equals, 15*time.Millisecond)
+
+	third := s.DecideHeld(700*time.Millisecond, syn(2, orders, 0))
+	fourth := s.Decide(900*time.Millisecond, syn(2, orders, 1))
+	c.Assert(fourth.Server.ID, qt.Not(qt.Equals), third.Server.ID, qt.Commentf("the server had its time"))
+	c.Assert(s.suspects.byID, qt.HasLen, 1)
+}
