Hold packets while an entry host cannot place flows yet

Change: with FastStart, packets with reason no_state or unknown_token are held while the table is not ready. Once it is, they are handled in order, 16 at a time with pauses of 1 ms and only while the queue of a slow link is short, so that fresh packets do not wait for all of them. A fresh packet discards the held one that it replaces, under the lock that decides about it. Counters packets.held, held_released, held_expired, held_replaced, held_repeated, held_overflow; decisions are logged with held_ms.

--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -39,6 +39,7 @@
 	cancel       context.CancelFunc
 	done         sync.WaitGroup
 	counts       packetCounts
+	held         *heldPackets // nil without Features.FastStart
 
 	mu           sync.Mutex // guards the following
 	steerer      *steering.Steerer
@@ -58,6 +59,9 @@
 		documents: map[string]*document.Document{},
 	}
 	h.counts = newPacketCounts(h.metrics)
+	if h.features.FastStart {
+		h.held = newHeldPackets(h.metrics)
+	}
 	h.controlHosts = newControlHosts(ctx, feed.HostInfo{Name: cfg.Name, Zone: cfg.Zone, Addr: cfg.feedAddr()}, cfg.Via, h)
 	h.controlHosts.setSeeds(cfg.seedFeedAddrs())
 	if err := h.start(a); err != nil {
@@ -81,6 +85,9 @@
 	h.server = &http.Server{Handler: a.Readiness(h.ready), ReadHeaderTimeout: time.Second}
 	h.done.Go(func() { _ = h.server.Serve(ready) })
 	h.done.Go(h.servePackets)
+	if h.features.FastStart {
+		h.done.Go(h.releaseHeld)
+	}
 	h.done.Go(h.loop)
 	serveMetrics(h.ctx, h.cfg.Metrics, h.metrics, h.log)
 	return nil
@@ -122,6 +129,7 @@
 		h.mu.Lock()
 		h.steerer.Expire(h.now())
 		h.catalog.RemoveExpired(h.now())
+		h.checkHeld()
 		warm := h.steerer.Table().Ready()
 		h.mu.Unlock()
 		h.sender.expire()
@@ -214,6 +222,7 @@
 	began := h.now()
 	h.steerer.SetTable(began, build(h.catalog.Since(0, "")))
 	h.pacer.record(began, h.now())
+	h.checkHeld()
 }
 
 // receiveDocument returns the document that an update of a control host leads to,
--- a/internal/fleet/packets.go
+++ b/internal/fleet/packets.go
@@ -60,9 +60,20 @@
 		return
 	}
 	h.mu.Lock()
-	d := h.steerer.Decide(h.now(), packet)
-	table, age := h.steerer.Table(), h.now()-h.lastUpdateAt
+	now := h.now()
+	d := h.steerer.Decide(now, packet)
+	in := h.decisionInputs(now)
+	held := h.hold(now, packet, d, buf)
 	h.mu.Unlock()
+	if !held {
+		h.apply(buf, packet, d, in)
+	}
+}
+
+// apply carries out a decision about the datagram that begins after TargetBytes bytes
+// of buf.
+func (h *EntryHost) apply(buf []byte, packet steering.Packet, d steering.Decision, in decisionInputs) {
+	datagram := buf[TargetBytes:]
 	h.counts.byReason[d.Reason].Inc(1)
 	if d.Opened > 0 {
 		h.counts.opened.Update(d.Opened.Milliseconds())
@@ -70,10 +81,10 @@
 	if d.Unanswered != nil {
 		h.reportSuspect(d.Unanswered)
 	}
-	h.logDecision(datagram, packet, d, decisionInputs{version: table.Version, age: age})
+	h.logDecision(datagram, packet, d, in)
 	switch d.Verdict {
 	case steering.Forward:
-		h.forward(buf, packet, d, table)
+		h.forward(buf, packet, d, in.table)
 	case steering.Refuse:
 		h.sendReset(datagram, packet)
 	}
@@ -117,8 +128,14 @@
 
 // decisionInputs holds what a decision was based on, besides the packet.
 type decisionInputs struct {
-	version uint64        // version of the document
-	age     time.Duration // time since the last update from a control host
+	table *steering.Table
+	age   time.Duration // time since the last update from a control host
+	held  time.Duration // for which the packet waited until this host could place flows
+}
+
+// decisionInputs returns the inputs of a decision. The caller holds mu.
+func (h *EntryHost) decisionInputs(now time.Duration) decisionInputs {
+	return decisionInputs{table: h.steerer.Table(), age: now - h.lastUpdateAt}
 }
 
 // logDecision logs a decision if the log's budget allows it. A packet that is
@@ -135,11 +152,14 @@
 	}
 	fields := eventlog.Fields{
 		"caller": p.Caller, "route": p.Route, "verdict": d.Verdict.String(),
-		"version": in.version, "feed_age_ms": in.age.Milliseconds(),
+		"version": in.table.Version, "feed_age_ms": in.age.Milliseconds(),
 	}
 	if p.Opening {
 		fields["copy"] = p.Copy
 	}
+	if in.held > 0 {
+		fields["held_ms"] = in.held.Milliseconds()
+	}
 	if d.Service != "" {
 		fields["service"] = d.Service
 	}
--- a/internal/fleet/sender.go
+++ b/internal/fleet/sender.go
@@ -90,6 +90,16 @@
 	}
 }
 
+// waitingBytes returns the size of the queued packets.
+func (s *sender) waitingBytes() int {
+	if s.queue == nil {
+		return 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.queue.WaitingBytes()
+}
+
 // expire deletes the queue's state of idle flows.
 func (s *sender) expire() {
 	if s.queue == nil {
