Invite the known entry hosts when a control host starts

Change: control hosts keep the entry hosts that follow any of them in entries.hint, the 4,096 with the latest contact, and send each a datagram 0, 50, 100, 200, 400 and 800 ms after their start, except to those that follow. Entry hosts that cannot place flows yet connect to the sender at once; they accept only control hosts with short names and valid addresses, and at most 64 known hosts. The code of the two hint files is shared.

--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -47,7 +47,9 @@
 	feed         *feed.Server
 	changes      *notifier
 	entryHosts   *entryHosts
-	hint         *hintFile
+	entryHistory *entryHostHistory
+	hint         *hintFile[catalog.Record]
+	entriesHint  *hintFile[knownEntryHost]
 	client       *rpc.Client
 	rpc          *rpc.Server
 	server       *http.Server
@@ -73,7 +75,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &ControlHost{
 		cfg: cfg, features: a.Features(cfg.Contracts), log: log, metrics: metrics.New(), replica: replica.New(), changes: newNotifier(), entryHosts: newEntryHosts(),
-		started: time.Now(), ctx: ctx, cancel: cancel,
+		entryHistory: newEntryHostHistory(),
+		started:      time.Now(), ctx: ctx, cancel: cancel,
 		catalog: catalog.New(catalog.Config{Self: cfg.feedAddr(), Interval: cfg.Heartbeat()}),
 		peers:   map[string]feed.HostInfo{}, lastConnectedAt: map[raft.ID]time.Duration{},
 	}
@@ -94,11 +97,17 @@
 	h.controlHosts = newControlHosts(h.ctx, h.info, h.cfg.Via, h)
 	h.controlHosts.setSeeds(h.cfg.seedFeedAddrs())
 	h.loadHint()
+	if h.features.FastStart {
+		h.loadEntriesHint()
+	}
 	listener, err := net.Listen("tcp", h.cfg.feedAddr())
 	if err != nil {
 		return listenError("internal", err)
 	}
 	h.feed = feed.Serve(listener, h)
+	if h.features.FastStart {
+		h.done.Go(h.sendInvitations)
+	}
 	api, err := net.Listen("tcp", h.cfg.API)
 	if err != nil {
 		return listenError("api", err)
--- a/internal/fleet/controlfeed.go
+++ b/internal/fleet/controlfeed.go
@@ -82,8 +82,11 @@
 	if follower.Control && connected {
 		h.controlHosts.recordFollower(follower)
 	}
-	if !follower.Control && h.entryHosts.followerChanged(follower, connected) {
-		h.changes.notify()
+	if !follower.Control {
+		h.recordEntryHosts(follower)
+		if h.entryHosts.followerChanged(follower, connected) {
+			h.changes.notify()
+		}
 	}
 	h.log.Event("follower", "a follower connected or disconnected", eventlog.Fields{
 		"follower": follower.Name, "address": follower.Addr, "control": follower.Control, "connected": connected,
@@ -127,6 +130,7 @@
 	changed := h.catalog.Merge(h.now(), addr, u.Records)
 	if u.Followers != nil {
 		h.entryHosts.setRemote(addr, *u.Followers)
+		h.recordEntryHosts(*u.Followers...)
 	}
 	if u.From.Addr != "" {
 		h.peers[addr] = u.From
@@ -176,6 +180,7 @@
 	for {
 		h.controlHosts.reconcile(allHosts)
 		h.tick()
+		h.saveEntriesHint()
 		h.manageMembers()
 		select {
 		case <-ticker.C:
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -40,6 +40,7 @@
 	done         sync.WaitGroup
 	counts       packetCounts
 	held         *heldPackets // nil without Features.FastStart
+	invitations  *net.UDPConn // nil if the host does not listen for invitations
 
 	mu           sync.Mutex // guards the following
 	steerer      *steering.Steerer
@@ -87,6 +88,7 @@
 	h.done.Go(h.servePackets)
 	if h.features.FastStart {
 		h.done.Go(h.releaseHeld)
+		h.listenForInvitations()
 	}
 	h.done.Go(h.loop)
 	serveMetrics(h.ctx, h.cfg.Metrics, h.metrics, h.log)
@@ -284,5 +286,8 @@
 	if h.conn != nil {
 		_ = h.conn.Close()
 	}
+	if h.invitations != nil {
+		_ = h.invitations.Close()
+	}
 	h.done.Wait()
 }
--- a/internal/fleet/harness_test.go
+++ b/internal/fleet/harness_test.go
@@ -28,6 +28,8 @@
 	folder   string
 	controls map[int]*fleet.ControlHost
 	log      *eventlog.Log
+	// contracts of all hosts
+	contracts []string
 }
 
 // portsPerHost is the number of ports of a host: packets, readiness check, API,
@@ -75,7 +77,7 @@
 		Name: fmt.Sprintf("h%d", host), Role: role, Zone: fmt.Sprintf("z%d", host%3), IP: ip(host),
 		Packets: s.addr(host, 0), Ready: s.addr(host, 1), API: s.addr(host, 2), Metrics: s.addr(host, 3),
 		Internal: []int{s.base + 4, s.base + 5}, Seeds: []string{s.addr(1, 2), s.addr(2, 2), s.addr(3, 2)},
-		FirstStart: firstStart, Data: data, HeartbeatMs: 60_000, TolerateLoss: 1,
+		FirstStart: firstStart, Data: data, HeartbeatMs: 60_000, TolerateLoss: 1, Contracts: s.contracts,
 	}
 }
 
--- a/internal/fleet/hint_test.go
+++ b/internal/fleet/hint_test.go
@@ -25,7 +25,7 @@
 func TestHintIsWrittenAgainAfterAFailure(t *testing.T) {
 	c := qt.New(t)
 	failed := make(chan error, 1)
-	f := newHintFile(fullDisk{}, func(err error) { failed <- err })
+	f := newHintFile[catalog.Record](fullDisk{}, backendsHintName, func(err error) { failed <- err })
 	f.save(7, nil)
 	c.Assert(<-failed, qt.ErrorMatches, ".*no space left.*")
 	for f.writing.Load() { // the write ends right after it reported the error
@@ -41,7 +41,7 @@
 	c := qt.New(t)
 	folder, err := wal.OpenFolder(t.TempDir())
 	c.Assert(err, qt.IsNil)
-	f := newHintFile(folder, nil)
+	f := newHintFile[catalog.Record](folder, backendsHintName, nil)
 	records := []catalog.Record{
 		{Heartbeat: catalog.Heartbeat{ID: "i-\xff", Service: "orders"}},
 		{Heartbeat: catalog.Heartbeat{ID: "i-a1", Service: "orders"}},
--- a/internal/fleet/raftlog.go
+++ b/internal/fleet/raftlog.go
@@ -32,9 +32,7 @@
 	if err != nil {
 		return err
 	}
-	h.hint = newHintFile(folder, func(err error) {
-		h.log.Event("hint", "could not save the known backend servers to the hint file", eventlog.Fields{"error": err.Error()})
-	})
+	h.openHints(folder)
 	ownAddr := logAddr(h.cfg.feedAddr())
 	if err := h.listenRPC(ownAddr); err != nil {
 		return err
