--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -40,6 +40,8 @@
 	cancel       context.CancelFunc
 	done         sync.WaitGroup
 	counts       packetCounts
+	held         *heldPackets // nil without Features.FastStart
+	invitations  *net.UDPConn // nil if the host does not listen for invitations
 
 	mu           sync.Mutex // guards the following
 	steerer      *steering.Steerer
@@ -60,6 +62,9 @@
 		documents: map[string]*document.Document{},
 	}
 	h.counts = newPacketCounts(h.metrics)
+	if h.features.FastStart {
+		h.held = newHeldPackets(h.metrics)
+	}
 	h.controlHosts = newControlHosts(ctx, feed.HostInfo{Name: cfg.Name, Zone: cfg.Zone, Addr: cfg.feedAddr()}, cfg.Via, h)
 	h.controlHosts.setSeeds(cfg.seedFeedAddrs())
 	if err := h.start(a); err != nil {
@@ -83,6 +88,10 @@
 	h.server = &http.Server{Handler: a.Readiness(h.ready), ReadHeaderTimeout: time.Second}
 	h.done.Go(func() { _ = h.server.Serve(ready) })
 	h.done.Go(h.servePackets)
+	if h.features.FastStart {
+		h.done.Go(h.releaseHeld)
+		h.listenForInvitations()
+	}
 	h.done.Go(h.loop)
 	serveMetrics(h.ctx, h.cfg.Metrics, h.metrics, h.log)
 	return nil
@@ -124,6 +133,7 @@
 		h.mu.Lock()
 		h.steerer.Expire(h.now())
 		h.catalog.RemoveExpired(h.now())
+		h.checkHeld()
 		warm := h.steerer.Table().Ready()
 		h.mu.Unlock()
 		h.sender.expire()
@@ -216,6 +226,7 @@
 	began := h.now()
 	h.steerer.SetTable(began, build(h.catalog.Since(0, "")))
 	h.pacer.record(began, h.now())
+	h.checkHeld()
 }
 
 // receiveDocument returns the document that an update of a control host leads to,
@@ -277,5 +288,8 @@
 	if h.conn != nil {
 		_ = h.conn.Close()
 	}
+	if h.invitations != nil {
+		_ = h.invitations.Close()
+	}
 	h.done.Wait()
 }
