Pass the shares of backend servers from control hosts to entry hosts

Cause: nothing fed the pool or used its shares. An entry host uses the lowest share that the followed control hosts sent, and drops those of one that disconnects. Reports that hold only samples no longer wake all followers.

--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -16,6 +16,7 @@
 	"greengagequay/internal/fault"
 	"greengagequay/internal/feed"
 	"greengagequay/internal/metrics"
+	"greengagequay/internal/pace"
 	"greengagequay/internal/raft"
 	"greengagequay/internal/replica"
 	"greengagequay/internal/rpc"
@@ -67,6 +68,7 @@
 	lastConnectedAt  map[raft.ID]time.Duration // when each control host was last connected, or first known as a member
 	changeInProgress bool                      // whether a membership change is in progress
 	suspects         suspectLog
+	shares           sharePool
 }
 
 func StartControl(cfg Config, a Adapter, log *eventlog.Log) (*ControlHost, error) {
@@ -76,6 +78,7 @@
 		started: time.Now(), ctx: ctx, cancel: cancel,
 		catalog: catalog.New(catalog.Config{Self: cfg.feedAddr(), Interval: cfg.Heartbeat()}),
 		peers:   map[string]feed.HostInfo{}, lastConnectedAt: map[raft.ID]time.Duration{},
+		shares: sharePool{pool: pace.NewPool()},
 	}
 	if err := h.start(a); err != nil {
 		h.Stop()
--- a/internal/fleet/controlfeed.go
+++ b/internal/fleet/controlfeed.go
@@ -37,6 +37,7 @@
 		return position
 	}
 	position.Revision, position.Version, position.Suspects = h.catalog.SteeringRevision(), h.version, h.suspects.revision
+	position.Levels = h.levelsRevision()
 	return position
 }
 
@@ -68,6 +69,9 @@
 	if after.Started { // a new follower would treat earlier suspects as new
 		u.Suspects = h.suspects.since(after.Suspects)
 	}
+	if next.Levels != after.Levels {
+		u.Levels = h.shares.pool.Since(after.Levels)
+	}
 	if next.Version != after.Version {
 		u.Document, u.Delta = h.documents.next(after.Version, to.Deltas)
 	}
@@ -91,12 +95,15 @@
 }
 
 // Reported passes the suspects in an entry host's report to the other entry hosts
-// that follow this host.
+// that follow this host, and takes its samples of answers.
 func (h *ControlHost) Reported(follower feed.HostInfo, r feed.Report) {
 	h.mu.Lock()
 	h.suspects.add(follower.Addr, r.Suspects)
+	h.addSamples(r)
 	h.mu.Unlock()
-	h.changes.notify()
+	if len(r.Suspects) > 0 {
+		h.changes.notify()
+	}
 }
 
 // FrameFailed handles a message from or to the host at addr that could not be decoded
@@ -208,6 +215,7 @@
 	if hintDue {
 		records = h.catalog.Since(0, "")
 	}
+	changed = h.tickShares() || changed
 	h.mu.Unlock()
 	if hintDue {
 		h.hint.save(revision, records)
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -44,7 +44,8 @@
 	steerer      *steering.Steerer
 	catalog      *catalog.Catalog
 	documents    map[string]*document.Document // the last document of each followed control host, by its address
-	lastUpdateAt time.Duration                 // when the last update arrived from a control host that has sent its state
+	levels       shareLevels
+	lastUpdateAt time.Duration // when the last update arrived from a control host that has sent its state
 	leaving      bool
 	pacer        rebuildPacer
 	rebuildSet   bool // whether a timer will build a table
@@ -54,9 +55,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &EntryHost{
 		cfg: cfg, features: a.Features(cfg.Contracts), log: log, metrics: metrics.New(), format: a.Packets(), started: time.Now(), ctx: ctx, cancel: cancel,
-		steerer: steering.New(steering.Config{Zone: cfg.Zone, DrainFallback: cfg.drainFallback()}), catalog: catalog.New(catalog.Config{Interval: cfg.Heartbeat()}),
-		documents: map[string]*document.Document{},
+		catalog: catalog.New(catalog.Config{Interval: cfg.Heartbeat()}), documents: map[string]*document.Document{}, levels: shareLevels{},
 	}
+	h.steerer = steering.New(steering.Config{Zone: cfg.Zone, DrainFallback: cfg.drainFallback(), Shares: h.features.Pace, Random: newRandom()})
 	h.counts = newPacketCounts(h.metrics)
 	h.controlHosts = newControlHosts(ctx, feed.HostInfo{Name: cfg.Name, Zone: cfg.Zone, Addr: cfg.feedAddr()}, cfg.Via, h)
 	h.controlHosts.setSeeds(cfg.seedFeedAddrs())
@@ -121,6 +122,7 @@
 		ready = h.logReadiness(ready)
 		h.mu.Lock()
 		h.steerer.Expire(h.now())
+		h.levels.expire(h.steerer.Table())
 		h.catalog.RemoveExpired(h.now())
 		warm := h.steerer.Table().Ready()
 		h.mu.Unlock()
@@ -157,6 +159,7 @@
 	h.catalog.SetConnected(h.now(), addr, connected)
 	if !connected {
 		delete(h.documents, addr)
+		h.levels.drop(addr, h.steerer.SetShare)
 	}
 	h.mu.Unlock()
 	h.log.Event("peer", "a followed control host connected or disconnected", eventlog.Fields{"address": addr, "connected": connected})
@@ -175,6 +178,9 @@
 			h.steerer.AddSuspicion(h.now(), x.ID, x.Born)
 		}
 	}
+	if h.features.Pace {
+		h.levels.receive(addr, u.Levels, h.steerer.SetShare)
+	}
 	changed := h.catalog.Merge(h.now(), addr, u.Records)
 	if d := h.receiveDocument(addr, u); d != nil && d.Version > h.steerer.Table().Version {
 		h.buildTable(func(servers []catalog.Record) *steering.Table { return steering.Build(d, servers) })
