Compare answers only between the same zones, and send the share of each new backend server

Cause: latencies include the way between zones, so a backend server in another region looked slow; a backend server that came back in the same start while most were new kept the share that followers had from before. Change: what is usual is kept for each route and pair of zones, from two backend servers on; a service with fewer than three that answer is not judged. While half of the service looks affected, the affected ones neither fall nor rise.

--- a/internal/fleet/controlfeed.go
+++ b/internal/fleet/controlfeed.go
@@ -99,7 +99,7 @@
 func (h *ControlHost) Reported(follower feed.HostInfo, r feed.Report) {
 	h.mu.Lock()
 	h.suspects.add(follower.Addr, r.Suspects)
-	h.addSamples(r)
+	h.addSamples(follower, r)
 	h.mu.Unlock()
 	if len(r.Suspects) > 0 {
 		h.changes.notify()
--- a/internal/fleet/shares.go
+++ b/internal/fleet/shares.go
@@ -31,7 +31,7 @@
 		var changed []pace.Server
 		for _, r := range h.catalog.SteeringSince(h.shares.revision) {
 			changed = append(changed, pace.Server{
-				Token: uint32(steering.TokenOf(r.ID)), ID: r.ID, Service: r.Service, Born: r.Born, Absent: r.Status >= catalog.Draining,
+				Token: uint32(steering.TokenOf(r.ID)), ID: r.ID, Service: r.Service, Zone: r.Zone, Born: r.Born, Absent: r.Status >= catalog.Draining,
 			})
 		}
 		h.shares.revision = revision
@@ -41,11 +41,11 @@
 }
 
 // addSamples passes the samples of an entry host to the pool. The caller holds mu.
-func (h *ControlHost) addSamples(r feed.Report) {
+func (h *ControlHost) addSamples(follower feed.HostInfo, r feed.Report) {
 	if !h.features.Pace || len(r.Samples) == 0 {
 		return
 	}
-	h.shares.pool.Add(h.now(), r.Samples)
+	h.shares.pool.Add(h.now(), follower.Zone, r.Samples)
 	h.metrics.Counter("pace.samples").Inc(int64(len(r.Samples)))
 	h.metrics.Counter("pace.unsampled").Inc(int64(r.Unsampled))
 }
--- a/internal/pace/pool.go
+++ b/internal/pace/pool.go
@@ -36,6 +36,7 @@
 	Token   uint32
 	ID      string
 	Service string
+	Zone    string
 	Born    int64 // start time in Unix milliseconds
 	Absent  bool  // whether it gets no new flows any more
 }
@@ -100,7 +101,7 @@
 // service holds the backend servers of a service and what is usual for them.
 type service struct {
 	members []*server
-	routes  map[uint32]*route
+	routes  map[routeKey]*route
 	base    baseline
 	levels  []float64 // scratch
 }
@@ -183,9 +184,11 @@
 		p.add(s)
 		if now >= p.usualEnd {
 			s.share, s.reason = newShare, New
-			if !p.mostAreBelow(p.services[x.Service]) {
-				changes = append(changes, p.send(s, newShare))
+			share := uint8(newShare)
+			if p.mostAreBelow(p.services[x.Service]) {
+				share = FullShare // sent too, since followers may have a share from before it was absent
 			}
+			changes = append(changes, p.send(s, share))
 		}
 	}
 	return changes
@@ -195,7 +198,7 @@
 	p.servers[s.Token] = s
 	group := p.services[s.Service]
 	if group == nil {
-		group = &service{routes: map[uint32]*route{}}
+		group = &service{routes: map[routeKey]*route{}}
 		p.services[s.Service] = group
 	}
 	group.members = append(group.members, s)
@@ -274,9 +277,10 @@
 func (s *server) adjust(base *baseline) {
 	v := &s.verdict
 	isFull := s.share >= FullShare
-	slow := !base.affected && v.Latencies > 0 && v.Ratio > slowRatio
-	failing := !base.affected && v.Failures > 0 && failingFraction*float64(v.Outcomes) <= float64(v.Failures) && base.failures <= maxUsualFailures
+	slow := v.Latencies > 0 && v.Ratio > slowRatio
+	failing := v.Failures > 0 && failingFraction*float64(v.Outcomes) <= float64(v.Failures) && base.failures <= maxUsualFailures
 	switch {
+	case base.affected && (failing || slow): // neither a fall nor a rise
 	case failing && v.Failures >= minFailures && isUnlikely(v.Failures, v.Outcomes, base.failures, minFailureRate):
 		s.fall(1, Failing)
 	case failing && !isFull: // too few outcomes for a verdict, but the share was lowered before
--- a/internal/pace/usual.go
+++ b/internal/pace/usual.go
@@ -19,7 +19,8 @@
 	usualWindow    = 6 * time.Second // outcomes that say what is usual
 	maxOutcomes    = 48              // outcomes kept of a backend server; later ones replace the oldest
 	maxRoutes      = 4096            // routes of a service whose answers are compared
-	minServers     = 3               // backend servers that must have answered on a route before their answers are compared
+	minServers     = 3               // backend servers of a service that must have answered before any of them is judged
+	minPerRoute    = 2               // backend servers that must have answered on a route before latencies are compared
 
 	slowRatio    = 1.8 // mean ratio of latencies above which a backend server is slow
 	maxRatio     = 3.0 // limit of each ratio in that mean, since 3% of the requests take 7 times as long
@@ -61,8 +62,8 @@
 	failures float64 // fraction of outcomes that are failures
 	slow     float64 // fraction of latencies above slowRatio
 	// affected is whether half or more of the backend servers that answered within
-	// recentWindow look slow or failing. Then no share falls: at the begin of a burst
-	// some of them have enough answers for a verdict earlier than others.
+	// recentWindow look slow or failing, or too few have answered. Then no share falls: at
+	// the begin of a burst some have enough answers for a verdict earlier than others.
 	affected bool
 
 	failureRates, slowRates []rate
@@ -114,10 +115,10 @@
 	q.total += weight
 }
 
-// median returns the weighted median, or 0 if fewer than minServers backend servers
+// median returns the weighted median, or 0 if fewer than minPerRoute backend servers
 // contributed.
 func (q *quantile) median() float64 {
-	if q.total < minServers-0.01 { // sum of weights, with rounding
+	if q.total < minPerRoute-0.01 { // sum of weights, with rounding
 		return 0
 	}
 	sum := float32(0)
@@ -131,21 +132,30 @@
 	return 0
 }
 
-// Add adds samples of an entry host. Those of unknown backend servers are ignored.
-func (p *Pool) Add(now time.Duration, samples []Sample) {
+// routeKey identifies answers that can be compared: those of one route, and between
+// the same zones, since the latency includes the way between them.
+type routeKey struct {
+	route    uint32
+	from, to string // zones of the entry host and the backend server
+}
+
+// Add adds samples of an entry host in a zone. Those of unknown backend servers are
+// ignored.
+func (p *Pool) Add(now time.Duration, zone string, samples []Sample) {
 	for _, x := range samples {
 		s := p.servers[x.Token]
 		if s == nil {
 			continue
 		}
 		group := p.services[s.Service]
-		r := group.routes[x.Route]
+		key := routeKey{route: x.Route, from: zone, to: s.Zone}
+		r := group.routes[key]
 		if r == nil {
 			if len(group.routes) >= maxRoutes {
 				continue
 			}
 			r = &route{}
-			group.routes[x.Route] = r
+			group.routes[key] = r
 		}
 		o := outcome{at: now, route: r, latency: x.LatencyMs, bytes: x.Bytes, kind: x.Kind}
 		o.failed = x.Kind != Answered || float64(x.Bytes) < min(r.usualBytes/2, maxFailureBytes)
@@ -177,10 +187,10 @@
 		m.expire(now)
 		m.addAnswers()
 	}
-	for hash, r := range s.routes {
+	for key, r := range s.routes {
 		r.usualLatency, r.usualBytes = r.latency.median(), r.bytes.median()
 		if r.bytes.total == 0 {
-			delete(s.routes, hash) // its last outcomes are failures, which are compared with nothing
+			delete(s.routes, key) // its last outcomes are failures, which are compared with nothing
 		}
 	}
 }
@@ -221,7 +231,7 @@
 // updateRates computes the usual rates from those that judge collected.
 func (b *baseline) updateRates() {
 	b.failures, b.slow = usualRate(b.failureRates), usualRate(b.slowRates)
-	b.affected = b.recent > 1 && 2*b.recentAffected >= b.recent
+	b.affected = len(b.failureRates) < minServers || b.recent > 1 && 2*b.recentAffected >= b.recent
 	b.failureRates, b.slowRates, b.recent, b.recentAffected = b.failureRates[:0], b.slowRates[:0], 0, 0
 }
 
