Docs: shares of backend servers

Cause: operators and developers need to know who decides about shares, what they see, and what was weighed.

--- a/internal/pace/usual.go
+++ b/internal/pace/usual.go
@@ -11,8 +11,8 @@
 const (
 	judgeWindow = 2 * time.Second // outcomes that a verdict is based on
 	// At a low rate, a verdict against a backend server at full share is based on the
-	// latest minEvidence outcomes of extendedWindow. So one that is at least 1.8 times
-	// slower is found from 1.5 answers a second on; of one that fails, 3 failures are enough.
+	// latest minEvidence outcomes of extendedWindow. So one that is five times slower or
+	// refuses everything is found within 6 s from 1.5 answers a second on.
 	minEvidence    = 6
 	extendedWindow = 4 * time.Second
 	recentWindow   = time.Second     // outcomes that say whether the whole service is affected
