--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -16,6 +16,7 @@
 	"greengagequay/internal/fault"
 	"greengagequay/internal/feed"
 	"greengagequay/internal/metrics"
+	"greengagequay/internal/pace"
 	"greengagequay/internal/raft"
 	"greengagequay/internal/replica"
 	"greengagequay/internal/rpc"
@@ -71,6 +72,7 @@
 	changeInProgress bool                      // whether a membership change is in progress
 	suspects         suspectLog
 	cold             coldServices
+	shares           sharePool
 }
 
 func StartControl(cfg Config, a Adapter, log *eventlog.Log) (*ControlHost, error) {
@@ -82,6 +84,7 @@
 		catalog: catalog.New(catalog.Config{Self: cfg.feedAddr(), Interval: cfg.Heartbeat(), ColdBound: coldBound(cfg, a) != warmup.Bound{}}),
 		cold:    coldServices{bound: coldBound(cfg, a)},
 		peers:   map[string]feed.HostInfo{}, lastConnectedAt: map[raft.ID]time.Duration{},
+		shares: sharePool{pool: pace.NewPool()},
 	}
 	if err := h.start(a); err != nil {
 		h.Stop()
--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -1,6 +1,7 @@
 package steering
 
 import (
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
@@ -98,6 +99,10 @@
 	drains   drains
 	suspects suspects
 	cold     coldServers
+	turns    map[string]*turns // by service
+	shares   map[Token]Share   // shares below FullShare
+	// sharesRevision increases when shares changes.
+	sharesRevision uint64
 }
 
 // opening is a flow that this host placed and whose caller may still retransmit
@@ -124,13 +129,17 @@
 	DrainFallback time.Duration
 	Host          string       // feed address of the host, by which an admission names it
 	ColdBound     warmup.Bound // of the new flows of a cold backend server; the zero value is no bound
+	// Shares is whether backend servers get new flows in proportion to their shares.
+	// Random then places those that are new at this host among the others.
+	Shares bool
+	Random *rand.Rand
 }
 
 // New returns a steerer.
 func New(cfg Config) *Steerer {
 	return &Steerer{
 		cfg: cfg, table: Build(nil, nil), openings: map[Flow]opening{}, lastUsed: map[string]time.Duration{},
-		drains: drains{}, suspects: newSuspects(), cold: newColdServers(cfg),
+		drains: drains{}, suspects: newSuspects(), cold: newColdServers(cfg), turns: map[string]*turns{}, shares: map[Token]Share{},
 	}
 }
 
@@ -246,6 +255,11 @@
 			delete(s.lastUsed, id)
 		}
 	}
+	for service := range s.turns {
+		if len(s.table.services[service]) == 0 {
+			delete(s.turns, service)
+		}
+	}
 }
 
 // serviceOf returns the target service of a flow on a route. It is the same for
