Let a repeated order about a zone supersede the orders before it

Cause: an order that changed nothing left no trace in the replicated state. An "end" that a control host had received, and that the operator had given up, still took effect after the operator had repeated "start" and got it acknowledged: its base was the revision of the first "start". Change: ZoneState.Latest holds the log entry of the latest accepted order, also of one that changed nothing, and Order.Base is that number. Set.Revision still rises only if a zone changes.

--- a/internal/evacuation/evacuation.go
+++ b/internal/evacuation/evacuation.go
@@ -16,7 +16,7 @@
 type Order struct {
 	Zone     string
 	Evacuate bool      // true starts the evacuation, false ends it
-	Base     uint64    // revision of the zone's latest order that the proposing control host knew, 0 if there was none
+	Base     uint64    // ZoneState.Latest at the proposing control host when it received the order, 0 if there was none
 	At       time.Time // time of day at the proposing control host
 	From     string    // name of the proposing control host
 }
@@ -28,6 +28,9 @@
 	Revision  uint64 // log entry that holds the order
 	At        time.Time
 	From      string
+	// Latest is the log entry of the latest order that was accepted, which may have
+	// changed nothing.
+	Latest uint64
 }
 
 // Set holds the state of each zone that had an order. It is immutable.
@@ -37,25 +40,29 @@
 }
 
 // Apply returns the set after an order in the log entry with the given revision. An
-// order that asks for the state that the zone is in changes nothing: operators repeat
-// an order whose acknowledgement was lost. An order that changes the state is rejected
-// with kind Conflict if the zone had a later order than the proposing host knew. Else a
-// delayed order could undo a later one, since orders have no id.
+// order that asks for the state that the zone is in leaves that state and the revision
+// of the set as they are: operators repeat an order whose acknowledgement was lost. It
+// only raises Latest, since it supersedes the orders that were received before it. An
+// order that changes the state is rejected with kind Conflict if the zone had a later
+// order than the proposing host knew. Otherwise a delayed order could undo a later one,
+// since orders have no id.
 func (s Set) Apply(revision uint64, o Order) (Set, error) {
 	at, found := slices.BinarySearchFunc(s.Zones, o.Zone, func(z ZoneState, zone string) int { return cmp.Compare(z.Zone, zone) })
-	evacuated, latest := false, uint64(0)
+	state := ZoneState{Zone: o.Zone}
 	if found {
-		evacuated, latest = s.Zones[at].Evacuated, s.Zones[at].Revision
+		state = s.Zones[at]
 	}
+	next := Set{Revision: s.Revision, Zones: slices.Clone(s.Zones)}
 	switch {
-	case evacuated == o.Evacuate:
-		return s, nil
-	case latest > o.Base:
+	case state.Evacuated == o.Evacuate:
+		state.Latest = revision
+	case state.Latest > o.Base:
 		return s, fault.New(fault.Conflict, "read the evacuations and send the order again if it still applies",
-			"zone %q had a later order at revision %d, after revision %d", o.Zone, latest, o.Base)
+			"zone %q had a later order at revision %d, after revision %d", o.Zone, state.Latest, o.Base)
+	default:
+		next.Revision = revision
+		state = ZoneState{Zone: o.Zone, Evacuated: o.Evacuate, Revision: revision, At: o.At, From: o.From, Latest: revision}
 	}
-	state := ZoneState{Zone: o.Zone, Evacuated: o.Evacuate, Revision: revision, At: o.At, From: o.From}
-	next := Set{Revision: revision, Zones: slices.Clone(s.Zones)}
 	if found {
 		next.Zones[at] = state
 	} else {
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"greengagequay/internal/codec"
+	"greengagequay/internal/evacuation"
 	"greengagequay/internal/fault"
 	"greengagequay/internal/settings"
 	"greengagequay/internal/state"
@@ -70,3 +73,34 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(restored.ChangesAfter(0)[0].Message, qt.Equals, "\xff")
 }
+
+// Guards against orders about zones that are lost with a snapshot, and against a folder
+// of an earlier version that cannot be read.
+func TestSnapshotKeepsEvacuations(t *testing.T) {
+	c := qt.New(t)
+	s := state.New()
+	order := func(evacuate bool, base uint64) state.Command {
+		return state.Command{Evacuation: &evacuation.Order{Zone: "a", Evacuate: evacuate, Base: base, At: time.Unix(7, 0).UTC(), From: "c1"}}
+	}
+	data, err := state.Encode(order(true, 0))
+	c.Assert(err, qt.IsNil)
+	command, err := state.Decode(data)
+	c.Assert(err, qt.IsNil)
+	c.Assert(s.Apply(4, command).Err == nil, qt.IsTrue)
+	snapshot, err := s.Snapshot()
+	c.Assert(err, qt.IsNil)
+	restored, err := state.Restore(snapshot)
+	c.Assert(err, qt.IsNil)
+	c.Assert(restored.Evacuations, qt.DeepEquals, s.Evacuations)
+	c.Assert(restored.Evacuations.Evacuated(), qt.HasLen, 1)
+	c.Assert(restored.Apply(5, order(false, 3)).Err.Kind, qt.Equals, fault.Conflict)
+	c.Assert(restored.Apply(6, order(false, 4)).Err == nil, qt.IsTrue)
+	c.Assert(restored.Evacuations.Revision, qt.Equals, uint64(6))
+
+	earlier, err := codec.Marshal(struct{ Revision, Seed uint64 }{9, 3})
+	c.Assert(err, qt.IsNil)
+	restored, err = state.Restore(earlier)
+	c.Assert(err, qt.IsNil)
+	c.Assert(restored.Revision, qt.Equals, uint64(9))
+	c.Assert(restored.Evacuations, qt.DeepEquals, evacuation.Set{})
+}
