Send orders about zones to entry hosts, and place no flow in evacuated zones

Cause: orders were committed and nothing acted on them. Change: control hosts send the set of orders on the feed, with the age of each end, once the replica is proven current after a start: the disk of one host may lack the latest orders. Entry hosts keep the set with the highest revision, place no flow without one, and skip servers of evacuated zones in every rank; reason "evacuated" if that leaves none. A frame that holds ages is sent from the cache for 1 s at most. GET, POST and DELETE of /evacuations at the metrics address of control hosts.

--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -17,8 +17,8 @@
 
 // Propose commits a command, on this host or on the leader. It retries when a
 // reply is lost, because no command takes effect twice: a change has an id, a
-// placement has a base revision, a document has a version, and the seed is set
-// only once.
+// placement has a base revision, a document has a version, an order about a zone has
+// a base, and the seed is set only once.
 func (h *Host) Propose(ctx context.Context, c state.Command) (state.Result, error) {
 	data, err := state.Encode(c)
 	if err != nil {
--- a/internal/feed/frame.go
+++ b/internal/feed/frame.go
@@ -95,7 +95,8 @@
 	Delta    *document.Delta    // to entry hosts, in place of Document: what changed since the last one on this connection
 	Records  []catalog.Record   // records of backend servers that changed since the last update
 	Suspects []Suspect          // to entry hosts: suspects that entry hosts reported since the last update
-	// Evacuations is sent to entry hosts in the first update with state and after each order.
+	// Evacuations is sent to entry hosts in the first update with state, or as soon as the
+	// sender knows that its set is current, and after each order that changed a zone.
 	Evacuations *Evacuations       `cbor:",omitempty"`
 	Levels      []pace.Level       `cbor:",omitempty"` // to entry hosts: shares of backend servers that changed since the last update
 	Plan        []spread.ZoneShare `cbor:",omitempty"` // to entry hosts: the whole plan, if it changed since the last update
@@ -114,6 +115,10 @@
 	return u.Synced || u.Document != nil || len(u.Records) > 0
 }
 
+// ages reports whether the update holds times that are relative to the moment at which
+// it was made.
+func (u *Update) ages() bool { return u.Evacuations != nil && len(u.Evacuations.Ended) > 0 }
+
 // encodeFrame encodes a frame. It compresses a large one if compress is set.
 func encodeFrame(v any, compress bool) ([]byte, error) {
 	data, err := codec.Marshal(v)
--- a/internal/feed/framecache.go
+++ b/internal/feed/framecache.go
@@ -1,10 +1,17 @@
 package feed
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 // maxCachedFrames is the number of encoded frames that a server keeps.
 const maxCachedFrames = 16
 
+// maxFrameAge is how long a frame with relative times is sent again. Such times are
+// wrong by as much. Hosts that connect at the same time still share a frame.
+const maxFrameAge = time.Second
+
 // frameKey identifies a frame that is the same for all entry hosts.
 type frameKey struct {
 	after, next Cursor
@@ -21,27 +28,34 @@
 }
 
 type cachedFrame struct {
-	key  frameKey
-	data []byte
+	key       frameKey
+	data      []byte
+	ages      bool // whether it holds times that are relative to encodedAt
+	encodedAt time.Time
+}
+
+func (f cachedFrame) isUsable(now time.Time) bool {
+	return !f.ages || now.Sub(f.encodedAt) < maxFrameAge
 }
 
 // get returns the frame of a key and the cursor after it. If the cache does not
 // have the frame, it calls encode, which returns a frame, nil if there is none,
-// and the cursor after it.
-func (c *frameCache) get(key frameKey, encode func() ([]byte, Cursor, error)) ([]byte, Cursor, error) {
+// the cursor after it, and whether the frame holds relative times.
+func (c *frameCache) get(key frameKey, encode func() ([]byte, Cursor, bool, error)) ([]byte, Cursor, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now := time.Now()
 	for _, f := range c.frames {
-		if f.key == key {
+		if f.key == key && f.isUsable(now) {
 			return f.data, key.next, nil
 		}
 	}
-	data, next, err := encode()
+	data, next, ages, err := encode()
 	if data == nil || err != nil {
 		return nil, next, err
 	}
 	key.next = next // there may have been a change since the key was made
-	c.frames = append(c.frames, cachedFrame{key, data})
+	c.frames = append(c.frames, cachedFrame{key: key, data: data, ages: ages, encodedAt: now})
 	if len(c.frames) > maxCachedFrames {
 		c.frames = c.frames[1:]
 	}
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -17,7 +17,7 @@
 	Current  bool   // last value of Update.Current
 	Started  bool   // whether an update was sent
 
-	Evacuations uint64 // revision of the evacuations
+	Evacuations uint64 // one more than the revision of the evacuations, 0 if there is no set to send
 	Levels      uint64 // revision of the shares of backend servers
 	Plan        uint64 // revision of the plan for zones
 	Demands     uint64 // revision of the demand, to control hosts
@@ -211,20 +211,22 @@
 	case position == after:
 		return nil, after, nil
 	case to.From.Control:
-		return s.encodeNext(to, after)
+		frame, next, _, err := s.encodeNext(to, after)
+		return frame, next, err
 	}
 	key := frameKey{after: after, next: position, compressed: to.Compressed, deltas: to.Deltas}
-	return s.frames.get(key, func() ([]byte, Cursor, error) { return s.encodeNext(to, after) })
+	return s.frames.get(key, func() ([]byte, Cursor, bool, error) { return s.encodeNext(to, after) })
 }
 
 // encodeNext encodes the next update for a follower. It returns nil if the
-// follower is up to date.
-func (s *Server) encodeNext(to Hello, after Cursor) ([]byte, Cursor, error) {
+// follower is up to date. ages reports whether the update holds times that are
+// relative to now.
+func (s *Server) encodeNext(to Hello, after Cursor) (frame []byte, next Cursor, ages bool, err error) {
 	u, next, ok := s.source.Next(to, after)
 	if !ok {
-		return nil, after, nil
+		return nil, after, false, nil
 	}
 	u.Synced = true
-	frame, err := encodeFrame(u, to.Compressed)
-	return frame, next, err
+	frame, err = encodeFrame(u, to.Compressed)
+	return frame, next, u.ages(), err
 }
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -67,6 +67,7 @@
 	lastConnectedAt  map[raft.ID]time.Duration // when each control host was last connected, or first known as a member
 	changeInProgress bool                      // whether a membership change is in progress
 	suspects         suspectLog
+	orders           orderLog
 }
 
 func StartControl(cfg Config, a Adapter, log *eventlog.Log) (*ControlHost, error) {
@@ -108,7 +109,8 @@
 	h.done.Go(func() { _ = h.server.Serve(api) })
 	h.done.Go(h.watchReplica)
 	h.done.Go(h.loop)
-	serveMetrics(h.ctx, h.cfg.Metrics, h.metrics, h.log)
+	h.startEvacuations()
+	serveMetrics(h.ctx, h.cfg.Metrics, h.metrics, h.log, h.evacuationRoutes)
 	return nil
 }
 
--- a/internal/fleet/controlfeed.go
+++ b/internal/fleet/controlfeed.go
@@ -37,6 +37,7 @@
 		return position
 	}
 	position.Revision, position.Version, position.Suspects = h.catalog.SteeringRevision(), h.version, h.suspects.revision
+	position.Evacuations = h.orders.position()
 	return position
 }
 
@@ -68,6 +69,9 @@
 	if after.Started { // a new follower would treat earlier suspects as new
 		u.Suspects = h.suspects.since(after.Suspects)
 	}
+	if next.Evacuations != after.Evacuations {
+		u.Evacuations = h.orders.message(h.now())
+	}
 	if next.Version != after.Version {
 		u.Document, u.Delta = h.documents.next(after.Version, to.Deltas)
 	}
@@ -139,7 +143,7 @@
 	}
 }
 
-// watchReplica notifies followers of each new document.
+// watchReplica notifies followers of each new document and of each order about a zone.
 func (h *ControlHost) watchReplica() {
 	for {
 		changed := h.replica.Changed()
@@ -147,6 +151,7 @@
 			h.log.Event("version", "a new document is in force", eventlog.Fields{"version": d.Version})
 			h.changes.notify()
 		}
+		h.noteEvacuations()
 		select {
 		case <-changed:
 		case <-h.ctx.Done():
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -54,9 +54,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &EntryHost{
 		cfg: cfg, features: a.Features(cfg.Contracts), log: log, metrics: metrics.New(), format: a.Packets(), started: time.Now(), ctx: ctx, cancel: cancel,
-		steerer: steering.New(steering.Config{Zone: cfg.Zone, DrainFallback: cfg.drainFallback()}), catalog: catalog.New(catalog.Config{Interval: cfg.Heartbeat()}),
+		catalog:   catalog.New(catalog.Config{Interval: cfg.Heartbeat()}),
 		documents: map[string]*document.Document{},
 	}
+	h.steerer = steering.New(steering.Config{Zone: cfg.Zone, DrainFallback: cfg.drainFallback(), Evacuations: h.features.Evacuations})
 	h.counts = newPacketCounts(h.metrics)
 	h.controlHosts = newControlHosts(ctx, feed.HostInfo{Name: cfg.Name, Zone: cfg.Zone, Addr: cfg.feedAddr()}, cfg.Via, h)
 	h.controlHosts.setSeeds(cfg.seedFeedAddrs())
@@ -82,6 +83,7 @@
 	h.done.Go(func() { _ = h.server.Serve(ready) })
 	h.done.Go(h.servePackets)
 	h.done.Go(h.loop)
+	h.registerEvacuations()
 	serveMetrics(h.ctx, h.cfg.Metrics, h.metrics, h.log)
 	return nil
 }
@@ -92,7 +94,7 @@
 func (h *EntryHost) ready() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return !h.leaving && h.steerer.Table().Ready() && !h.isStale()
+	return !h.leaving && h.steerer.Ready() && !h.isStale()
 }
 
 // isStale reports whether the host has had no news of control hosts for so long
@@ -122,7 +124,7 @@
 		h.mu.Lock()
 		h.steerer.Expire(h.now())
 		h.catalog.RemoveExpired(h.now())
-		warm := h.steerer.Table().Ready()
+		warm := h.steerer.Ready()
 		h.mu.Unlock()
 		h.sender.expire()
 		h.controlHosts.setWarm(warm)
@@ -175,6 +177,7 @@
 			h.steerer.AddSuspicion(h.now(), x.ID, x.Born)
 		}
 	}
+	h.receiveEvacuations(addr, u.Evacuations)
 	changed := h.catalog.Merge(h.now(), addr, u.Records)
 	if d := h.receiveDocument(addr, u); d != nil && d.Version > h.steerer.Table().Version {
 		h.buildTable(func(servers []catalog.Record) *steering.Table { return steering.Build(d, servers) })
--- /dev/null
+++ b/internal/fleet/evacuations_test.go
@@ -0,0 +1,35 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"greengagequay/internal/evacuation"
+)
+
+// Guards against an old end of an evacuation that counts as fresh after a restart, when
+// all servers of the zone would be treated as cold again, and against a negative age.
+func TestAgeOfAnEnd(t *testing.T) {
+	c := qt.New(t)
+	wall := time.Unix(1_700_000_000, 0)
+	ended := func(revision uint64, at time.Time) evacuation.Set {
+		set, _ := evacuation.Set{}.Apply(1, evacuation.Order{Zone: "a", Evacuate: true})
+		set, _ = set.Apply(revision, evacuation.Order{Zone: "a", Base: 1, At: at})
+		return set
+	}
+	var l orderLog
+	c.Assert(l.update(ended(2, wall.Add(-time.Hour)), time.Second, wall), qt.IsTrue)
+	c.Assert(l.position(), qt.Equals, uint64(0), qt.Commentf("nothing is sent before the replica is current"))
+	l.current = true
+	c.Assert(l.position(), qt.Equals, uint64(3))
+	c.Assert(l.message(11 * time.Second).Ended["a"], qt.Equals, time.Hour+10*time.Second)
+	c.Assert(l.update(ended(2, wall), time.Minute, wall), qt.IsFalse)
+	c.Assert(l.update(ended(5, wall.Add(time.Hour)), 2*time.Minute, wall), qt.IsTrue)
+	c.Assert(l.message(3 * time.Minute).Ended["a"], qt.Equals, time.Minute, qt.Commentf("applied by the running host: the clocks of others do not matter"))
+
+	l = orderLog{}
+	l.update(ended(2, wall.Add(time.Hour)), time.Second, wall)
+	c.Assert(l.message(time.Second).Ended["a"], qt.Equals, time.Duration(0), qt.Commentf("the clock of the other host is ahead"))
+}
--- a/internal/fleet/harness_test.go
+++ b/internal/fleet/harness_test.go
@@ -28,6 +28,9 @@
 	folder   string
 	controls map[int]*fleet.ControlHost
 	log      *eventlog.Log
+
+	contracts []string          // of all hosts
+	zones     map[string]string // of control hosts
 }
 
 // portsPerHost is the number of ports of a host: packets, readiness check, API,
@@ -75,7 +78,7 @@
 		Name: fmt.Sprintf("h%d", host), Role: role, Zone: fmt.Sprintf("z%d", host%3), IP: ip(host),
 		Packets: s.addr(host, 0), Ready: s.addr(host, 1), API: s.addr(host, 2), Metrics: s.addr(host, 3),
 		Internal: []int{s.base + 4, s.base + 5}, Seeds: []string{s.addr(1, 2), s.addr(2, 2), s.addr(3, 2)},
-		FirstStart: firstStart, Data: data, HeartbeatMs: 60_000, TolerateLoss: 1,
+		FirstStart: firstStart, Data: data, HeartbeatMs: 60_000, TolerateLoss: 1, Contracts: s.contracts, Zones: s.zones,
 	}
 }
 
@@ -169,6 +172,7 @@
 // backend is a backend server that receives packets and answers none.
 type backend struct {
 	id       string
+	zone     string
 	conn     *net.UDPConn
 	sequence uint64
 }
@@ -177,14 +181,14 @@
 	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	qt.Assert(s.t, err, qt.IsNil)
 	s.t.Cleanup(func() { _ = conn.Close() })
-	return &backend{id: id, conn: conn}
+	return &backend{id: id, zone: "z1", conn: conn}
 }
 
 // heartbeat returns the body of a backend server's next announcement.
 func (s *system) heartbeat(b *backend, state string) []byte {
 	b.sequence++
 	return standin.Encode(standin.Heartbeat{
-		Service: "orders", Address: standin.LocalAddr(b.conn), Zone: "z1", Slots: 2,
+		Service: "orders", Address: standin.LocalAddr(b.conn), Zone: b.zone, Slots: 2,
 		State: state, Sequence: b.sequence, Born: 1_700_000_000_000,
 	})
 }
--- a/internal/steering/choose.go
+++ b/internal/steering/choose.go
@@ -40,6 +40,15 @@
 }
 
 func (s *Steerer) rankOf(now time.Duration, server *Server, tried []string) rank {
+	if s.zones.contains(server.Zone) {
+		return rankExcluded
+	}
+	return s.rankInService(now, server, tried)
+}
+
+// rankInService returns the rank that a backend server has if its zone is not
+// evacuated.
+func (s *Steerer) rankInService(now time.Duration, server *Server, tried []string) rank {
 	switch {
 	case server.Status == catalog.Draining && s.drains.startedWithin(now, server, s.cfg.DrainFallback):
 		return rankDraining
--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -56,16 +56,17 @@
 	ByToken      Reason = iota // a packet of an open flow goes to the backend server of its token
 	Placed                     // a new flow was placed
 	PlacedAgain                // a new flow was placed again after an opening packet got no answer
-	NoState                    // this host has no document or knows no backend server yet
+	NoState                    // this host has no document, or does not know the backend servers or evacuated zones yet
 	NoRoute                    // no route has the address
 	NoServer                   // no backend server of the service takes flows
 	UnknownToken               // no backend server with this token is known
 	ServerGone                 // the flow's backend server has ended
 	OpenAlready                // a copy of an opening packet arrived after its flow was open
+	Evacuated                  // all backend servers of the service that take flows are in evacuated zones
 )
 
 var reasonNames = [...]string{
-	"by_token", "placed", "placed_again", "no_state", "no_route", "no_server", "unknown_token", "server_gone", "open_already",
+	"by_token", "placed", "placed_again", "no_state", "no_route", "no_server", "unknown_token", "server_gone", "open_already", "evacuated",
 }
 
 // String returns the name of the reason.
@@ -76,7 +77,7 @@
 	Verdict Verdict
 	Reason  Reason
 	Server  *Server // set for Forward, and for Refuse with ServerGone
-	Service string  // target service, set if Reason is Placed, PlacedAgain or NoServer
+	Service string  // target service, set if Reason is Placed, PlacedAgain, NoServer or Evacuated
 	// Opened is how long a flow placed by this host took to open. It is set for
 	// the first packet after the opening ones, and 0 for all others.
 	Opened time.Duration
@@ -94,6 +95,7 @@
 	lastUsed map[string]time.Duration // when a flow was last placed on a backend server, by id
 	drains   drains
 	suspects suspects
+	zones    evacuatedZones
 }
 
 // opening is a flow that this host placed and whose caller may still retransmit
@@ -117,6 +119,8 @@
 	// if its service has no ready one. It must be well below the time for which
 	// a draining backend server keeps running.
 	DrainFallback time.Duration
+	// Evacuations is whether flows are placed only once the evacuated zones are known.
+	Evacuations bool
 }
 
 // New returns a steerer.
@@ -178,7 +182,7 @@
 
 // place places a new flow.
 func (s *Steerer) place(now time.Duration, p Packet) Decision {
-	if !s.table.Ready() {
+	if !s.Ready() {
 		return Decision{Verdict: Drop, Reason: NoState} // not refused, since a copy may reach a host whose table is ready
 	}
 	route := s.table.routes[p.Route]
@@ -201,7 +205,7 @@
 	}
 	d.Server = s.choose(now, s.table.services[d.Service], before.tried)
 	if d.Server == nil {
-		return Decision{Verdict: Refuse, Reason: NoServer, Service: d.Service, Unanswered: d.Unanswered}
+		return Decision{Verdict: Refuse, Reason: s.reasonOfNoServer(now, s.table.services[d.Service]), Service: d.Service, Unanswered: d.Unanswered}
 	}
 	s.lastUsed[d.Server.ID] = now
 	s.openings[flow] = opening{firstAt: before.firstAt, latestAt: now, server: d.Server, tried: append(before.tried, d.Server.ID)}
