Add quayctl evacuations list, start and end

Cause: outside the users' platform there was no way to order an evacuation, and none to read which zones are evacuated. Change: the commands call /evacuations at the metrics address of a control host. Result: TestEvacuations.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -49,6 +49,8 @@
 	Explain  timelineCmd `cmd:"" help:"Show the timeline of a request, flow, backend server or document from logs of hosts."`
 	Soak     soakCmd     `cmd:"" help:"Run a deployment as separate processes, inject faults, and check the guarantees."`
 	Load     loadCmd     `cmd:"" help:"Send requests to a small system on loopback and report outcomes and latency."`
+
+	Evacuations evacuationsCmd `cmd:"" help:"List, start and end evacuations of zones; --server is the metrics address of a control host of a deployment whose packets carry tokens."`
 }
 
 // env holds the shared flags, the context and the output streams of a command.
