Start and end evacuations in the soak

Cause: the soak had one zone with backend servers and no evacuations. Change: each zone has backend servers of each service, and hosts have the contract. An operator starts and ends evacuations while faults are injected. Invalid orders are sent all the time and must get status 400.

--- a/internal/soak/backends.go
+++ b/internal/soak/backends.go
@@ -40,6 +40,7 @@
 	id           string
 	number       uint64 // the number in its id; entry hosts send it before each packet
 	service      int
+	zone         int
 	incarnation  int64
 	conn         *net.UDPConn
 	mu           sync.Mutex
@@ -55,8 +56,8 @@
 func (s *soak) newBackends() (*backends, error) {
 	f := &backends{incarnation: 1_700_000_000_000}
 	for service := range services {
-		for range backendsPerService {
-			if err := s.addBackend(f, service); err != nil {
+		for n := range backendsPerService {
+			if err := s.addBackend(f, service, n%zoneCount); err != nil {
 				return f, err
 			}
 		}
@@ -65,7 +66,7 @@
 }
 
 // addBackend starts a backend server.
-func (s *soak) addBackend(f *backends, service int) error {
+func (s *soak) addBackend(f *backends, service, zone int) error {
 	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		return fmt.Errorf("start backend server: %w", err)
@@ -74,7 +75,7 @@
 	f.incarnation++
 	number := uint64(rand.Uint32())
 	b := &backend{
-		soak: s, id: fmt.Sprintf("i-%x", number), number: number, service: service, incarnation: f.incarnation, conn: conn,
+		soak: s, id: fmt.Sprintf("i-%x", number), number: number, service: service, zone: zone, incarnation: f.incarnation, conn: conn,
 		flows: map[flowKey]bool{},
 	}
 	f.alive = append(f.alive, b)
@@ -140,7 +141,7 @@
 		b.mu.Lock()
 		b.sequence++
 		announcement := standin.Heartbeat{
-			Service: services[b.service], Address: standin.LocalAddr(b.conn), Zone: "zone-0", Slots: 2,
+			Service: services[b.service], Address: standin.LocalAddr(b.conn), Zone: zoneName(b.zone), Slots: 2,
 			State: "ready", Sequence: b.sequence, Born: b.incarnation,
 		}
 		if b.draining {
@@ -237,6 +238,7 @@
 	if late && b.soak.checks.settledBefore(since) {
 		b.soak.checks.addViolation("backend %s got a new flow %v after the acknowledgement of its drain", b.id, time.Since(since))
 	}
+	b.soak.checks.flowInZone(b.zone, b.id)
 	b.answer(p, standin.SYN|standin.ACK, nil)
 }
 
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -18,6 +18,7 @@
 	disturbedAt time.Time                  // when a fault last began or ended
 	opened      map[string]int             // number of flows that were opened, by entry host
 	owners      map[flowKey]*backend       // backend servers of the open flows
+	evacuations evacuations
 }
 
 func newChecks() *checks {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -199,7 +199,7 @@
 	if s.ctx.Err() != nil {
 		return
 	}
-	if err := s.addBackend(s.fleet, b.service); err != nil {
+	if err := s.addBackend(s.fleet, b.service, b.zone); err != nil {
 		s.checks.addViolation("%v", err)
 	}
 	s.fleet.remove(b)
--- a/internal/soak/invalid.go
+++ b/internal/soak/invalid.go
@@ -20,5 +20,6 @@
 		list := standin.InvalidAnnouncements(services[b.service], standin.LocalAddr(b.conn))
 		invalid := list[rng.IntN(len(list))]
 		s.call(s.control(rng), http.MethodPost, invalid.Path, []byte(invalid.Body))
+		s.sendInvalidOrder(rng)
 	}
 }
--- a/internal/soak/layout.go
+++ b/internal/soak/layout.go
@@ -77,4 +77,10 @@
 	return netip.MustParseAddrPort(fmt.Sprintf("198.18.0.%d:443", service+1))
 }
 
+// zoneCount is the number of availability zones. Each has a control host, an entry host
+// and a backend server of each service.
+const zoneCount = controlHosts
+
+func zoneName(zone int) string { return fmt.Sprintf("zone-%d", zone) }
+
 var services = []string{"orders", "photos"}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -52,11 +52,15 @@
 func (p *process) config(first bool) fleet.Config {
 	l := p.soak.layout
 	c := fleet.Config{
-		Name: p.name, Role: fleet.Entry, Zone: fmt.Sprintf("zone-%d", p.number%controlHosts), IP: l.ip(p.number),
+		Name: p.name, Role: fleet.Entry, Zone: zoneName(p.number % zoneCount), IP: l.ip(p.number),
 		Packets: l.addr(p.number, portPackets), Ready: l.addr(p.number, portReady), API: l.addr(p.number, portAPI),
 		Metrics: l.addr(p.number, portMetrics), Internal: []int{l.base + portFeed, l.base + portLog},
 		FirstStart: first, HeartbeatMs: int(heartbeatInterval.Milliseconds()), TolerateLoss: 1,
 		DrainMs: int(drainBound.Milliseconds()), GraceS: shutdownGrace.Seconds(), Via: map[string]string{},
+		Contracts: []string{"places"}, Zones: map[string]string{},
+	}
+	for zone := range zoneCount {
+		c.Zones[zoneName(zone)] = "region-0"
 	}
 	if p.control {
 		c.Role, c.Data = fleet.Control, p.path(".data")
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -48,12 +48,13 @@
 	Opened     int // flows that were opened
 	Answered   int // requests that were answered
 	Lost       int // requests that were not answered
+	Orders     int // orders about zones that a control host accepted
 }
 
 // String returns a summary of the report in one line.
 func (r Report) String() string {
-	return fmt.Sprintf("%d faults, %d documents accepted, %d reads, %d flows, %d requests answered, %d lost, %d violations",
-		r.Faults, r.Accepted, r.Reads, r.Opened, r.Answered, r.Lost, len(r.Violations))
+	return fmt.Sprintf("%d faults, %d documents accepted, %d orders accepted, %d reads, %d flows, %d requests answered, %d lost, %d violations",
+		r.Faults, r.Accepted, r.Orders, r.Reads, r.Opened, r.Answered, r.Lost, len(r.Violations))
 }
 
 // soak holds the state of one run.
@@ -69,6 +70,9 @@
 	checks   *checks
 	fleet    *backends
 	http     *http.Client
+
+	stopOrders  chan struct{} // closed when the operator sends no further orders about zones
+	ordersEnded chan struct{} // closed when its last one was accepted
 }
 
 // callTimeout bounds a call to the API or the metrics of a control host.
@@ -78,7 +82,8 @@
 func Run(ctx context.Context, cfg Config) (Report, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s := &soak{Config: cfg, ctx: ctx, cancel: cancel, checks: newChecks(), http: &http.Client{Timeout: callTimeout}}
+	s := &soak{Config: cfg, ctx: ctx, cancel: cancel, checks: newChecks(), http: &http.Client{Timeout: callTimeout},
+		stopOrders: make(chan struct{}), ordersEnded: make(chan struct{})}
 	layout, err := findLayout()
 	if err != nil {
 		return Report{}, err
@@ -91,6 +96,7 @@
 	s.injectFaults(rand.New(rand.NewPCG(cfg.Seed, 0)))
 	s.heal()
 	s.awaitRecovery()
+	s.checkEvacuations()
 	s.cancel()
 	s.tasks.Wait()
 	return s.checks.report(), nil
@@ -120,6 +126,7 @@
 	}
 	s.tasks.Go(s.runOperator)
 	s.tasks.Go(s.runOperator) // a second operator submits documents concurrently
+	s.tasks.Go(s.runEvacuations)
 	s.tasks.Go(s.runReader)
 	s.tasks.Go(s.sendInvalidAnnouncements)
 	for n := range callers {
