--- a/internal/soak/evacuations.go
+++ b/internal/soak/evacuations.go
@@ -169,14 +169,25 @@
 }
 
 // compareEvacuations compares the evacuated zones that the control hosts list with those
-// that the operator knows.
+// that the operator knows. At least one host must list them within recoveryBound.
 func (s *soak) compareEvacuations() {
+	deadline := time.Now().Add(recoveryBound)
+	for s.compareLists() == 0 {
+		if time.Now().After(deadline) || !s.sleep(orderRetryInterval) {
+			s.checks.addViolation("no control host listed the evacuations within %v", recoveryBound)
+			return
+		}
+	}
+}
+
+// compareLists compares the lists of the control hosts that reach a quorum. It returns
+// their number.
+func (s *soak) compareLists() (compared int) {
 	want := s.checks.evacuated()
-	compared := 0
 	for host, p := range s.controls {
 		list, ok := s.listEvacuations(host)
 		if !ok || !list.Current {
-			continue // the spare host may not be a member of the log yet
+			continue
 		}
 		compared++
 		count := 0
@@ -194,9 +205,7 @@
 			s.checks.addViolation("%s lists %d evacuated zones, not %d", p.name, count, len(want))
 		}
 	}
-	if compared == 0 {
-		s.checks.addViolation("no control host lists the evacuations")
-	}
+	return compared
 }
 
 func (s *soak) listEvacuations(host int) (list fleet.EvacuationList, ok bool) {
