--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -73,6 +73,7 @@
 	suspects         suspectLog
 	cold             coldServices
 	shares           sharePool
+	orders           orderLog
 }
 
 func StartControl(cfg Config, a Adapter, log *eventlog.Log) (*ControlHost, error) {
@@ -123,7 +124,8 @@
 	h.done.Go(func() { _ = h.server.Serve(api) })
 	h.done.Go(h.watchReplica)
 	h.done.Go(h.loop)
-	serveMetrics(h.ctx, h.cfg.Metrics, h.metrics, h.log)
+	h.startEvacuations()
+	serveMetrics(h.ctx, h.cfg.Metrics, h.metrics, h.log, h.evacuationRoutes)
 	return nil
 }
 
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -63,7 +63,7 @@
 	}
 	h.steerer = steering.New(steering.Config{
 		Zone: cfg.Zone, DrainFallback: cfg.drainFallback(), Host: cfg.feedAddr(), ColdBound: coldBound(cfg, a),
-		Shares: h.features.Pace, Random: newRandom(),
+		Shares: h.features.Pace, Random: newRandom(), Evacuations: h.features.Evacuations,
 	})
 	h.counts = newPacketCounts(h.metrics)
 	if h.features.FastStart {
@@ -97,6 +97,7 @@
 		h.listenForInvitations()
 	}
 	h.done.Go(h.loop)
+	h.registerEvacuations()
 	serveMetrics(h.ctx, h.cfg.Metrics, h.metrics, h.log)
 	return nil
 }
@@ -107,7 +108,7 @@
 func (h *EntryHost) ready() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return !h.leaving && h.steerer.Table().Ready() && !h.isStale()
+	return !h.leaving && h.steerer.Ready() && !h.isStale()
 }
 
 // isStale reports whether the host has had no news of control hosts for so long
@@ -139,7 +140,7 @@
 		h.levels.expire(h.steerer.Table())
 		h.catalog.RemoveExpired(h.now())
 		h.checkHeld()
-		warm := h.steerer.Table().Ready()
+		warm := h.steerer.Ready()
 		h.mu.Unlock()
 		h.sender.expire()
 		h.controlHosts.setWarm(warm)
@@ -196,6 +197,7 @@
 	if h.features.Pace {
 		h.levels.receive(addr, u.Levels, h.steerer.SetShare)
 	}
+	h.receiveEvacuations(addr, u.Evacuations)
 	changed := h.catalog.Merge(h.now(), addr, u.Records)
 	if d := h.receiveDocument(addr, u); d != nil && d.Version > h.steerer.Table().Version {
 		h.buildTable(func(servers []catalog.Record) *steering.Table { return steering.Build(d, servers) })
--- a/internal/fleet/held.go
+++ b/internal/fleet/held.go
@@ -60,7 +60,7 @@
 func (h *EntryHost) placesFlows() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.steerer.Table().Ready()
+	return h.steerer.Ready()
 }
 
 // hold holds a packet back if this host cannot place flows yet and therefore does not
@@ -70,7 +70,7 @@
 	if h.held == nil {
 		return false
 	}
-	if h.steerer.Table().Ready() || d.Reason != steering.NoState && d.Reason != steering.UnknownToken {
+	if h.steerer.Ready() || d.Reason != steering.NoState && d.Reason != steering.UnknownToken {
 		if h.held.queue.Len() > 0 {
 			h.held.queue.Discard(p)
 		}
@@ -88,7 +88,7 @@
 	}
 	h.held.queue.Expire(h.now())
 	h.held.updateCounters()
-	if h.held.queue.Len() == 0 || !h.steerer.Table().Ready() {
+	if h.held.queue.Len() == 0 || !h.steerer.Ready() {
 		return
 	}
 	select {
--- a/internal/steering/cold.go
+++ b/internal/steering/cold.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"greengagequay/internal/catalog"
 	"greengagequay/internal/warmup"
 )
 
@@ -90,14 +89,3 @@
 func (t *Table) warmup(service string) time.Duration {
 	return time.Duration(t.settings[service].Warmup) * time.Millisecond
 }
-
-// refusal returns the reason for which a flow to a service is refused that no backend
-// server takes.
-func (s *Steerer) refusal(now time.Duration, service string) Reason {
-	for _, server := range s.table.services[service] {
-		if server.Status < catalog.Draining && s.cold.excludes(now, server, s.table) {
-			return Cold
-		}
-	}
-	return NoServer
-}
--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -58,18 +58,19 @@
 	ByToken      Reason = iota // a packet of an open flow goes to the backend server of its token
 	Placed                     // a new flow was placed
 	PlacedAgain                // a new flow was placed again after an opening packet got no answer
-	NoState                    // this host has no document or knows no backend server yet
+	NoState                    // this host has no document, or does not know the backend servers or evacuated zones yet
 	NoRoute                    // no route has the address
 	NoServer                   // no backend server of the service takes flows
 	UnknownToken               // no backend server with this token is known
 	ServerGone                 // the flow's backend server has ended
 	OpenAlready                // a copy of an opening packet arrived after its flow was open
 	Cold                       // the backend servers of the service are cold, and this host may not use them now
+	Evacuated                  // all backend servers of the service that take flows are in evacuated zones
 )
 
 var reasonNames = [...]string{
 	"by_token", "placed", "placed_again", "no_state", "no_route", "no_server", "unknown_token", "server_gone", "open_already",
-	"cold",
+	"cold", "evacuated",
 }
 
 // String returns the name of the reason.
@@ -80,7 +81,7 @@
 	Verdict Verdict
 	Reason  Reason
 	Server  *Server // set for Forward, and for Refuse with ServerGone
-	Service string  // target service, set if Reason is Placed, PlacedAgain, NoServer or Cold
+	Service string  // target service, set if Reason is Placed, PlacedAgain, NoServer, Cold or Evacuated
 	// Opened is how long a flow placed by this host took to open. It is set for
 	// the first packet after the opening ones, and 0 for all others.
 	Opened time.Duration
@@ -103,6 +104,7 @@
 	shares   map[Token]Share   // shares below FullShare
 	// sharesRevision increases when shares changes.
 	sharesRevision uint64
+	zones          evacuatedZones
 }
 
 // opening is a flow that this host placed and whose caller may still retransmit
@@ -133,6 +135,8 @@
 	// Random then places those that are new at this host among the others.
 	Shares bool
 	Random *rand.Rand
+	// Evacuations is whether flows are placed only once the evacuated zones are known.
+	Evacuations bool
 }
 
 // New returns a steerer.
@@ -194,7 +198,7 @@
 
 // place places a new flow.
 func (s *Steerer) place(now time.Duration, p Packet) Decision {
-	if !s.table.Ready() {
+	if !s.Ready() {
 		return Decision{Verdict: Drop, Reason: NoState} // not refused, since a copy may reach a host whose table is ready
 	}
 	route := s.table.routes[p.Route]
