--- a/internal/feed/frame.go
+++ b/internal/feed/frame.go
@@ -17,6 +17,7 @@
 	"io"
 	"time"
 
+	"greengagequay/internal/admission"
 	"greengagequay/internal/catalog"
 	"greengagequay/internal/codec"
 	"greengagequay/internal/document"
@@ -99,9 +100,11 @@
 	Evacuations *Evacuations       `cbor:",omitempty"`
 	Levels      []pace.Level       `cbor:",omitempty"` // to entry hosts: shares of backend servers that changed since the last update
 	Plan        []spread.ZoneShare `cbor:",omitempty"` // to entry hosts: the whole plan, if it changed since the last update
-	HasPlan     bool               `cbor:",omitempty"` // whether Plan is set, which may be empty
-	Demands     []spread.Demand    `cbor:",omitempty"` // to control hosts: demand of the sender's followers
-	Followers   *[]HostInfo        `cbor:",omitempty"` // to control hosts: entry hosts that follow the sender, if they changed since the last update
+	HasPlan     bool               `cbor:",omitempty"` // whether Plan and Refusals are set, which may be empty
+	// Refusals holds all refusals in force, together with Plan.
+	Refusals  []admission.Refusal `cbor:",omitempty"`
+	Demands   []spread.Demand     `cbor:",omitempty"` // to control hosts: demand of the sender's followers
+	Followers *[]HostInfo         `cbor:",omitempty"` // to control hosts: entry hosts that follow the sender, if they changed since the last update
 }
 
 // IsGreeting reports whether the update only identifies the sender, which has not
