Publish changes to all followers of a control host at common times

Cause: each follower looked for changes at its own times. While thousands of backend servers announce new starts, each of them then needs a frame of its own, and encoding holds the lock of the frame cache. Each new follower also woke all others, and sent the list of all followers to each control host.

--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -69,6 +69,10 @@
 	lastConnectedAt  map[raft.ID]time.Duration // when each control host was last connected, or first known as a member
 	changeInProgress bool                      // whether a membership change is in progress
 	suspects         suspectLog
+	// published and publishedFollowers are the revisions that followers are told of, see
+	// enablePublishing.
+	published          uint64
+	publishedFollowers uint64
 }
 
 func StartControl(cfg Config, a Adapter, log *eventlog.Log) (*ControlHost, error) {
@@ -99,6 +103,7 @@
 	h.loadHint()
 	if h.features.FastStart {
 		h.loadEntriesHint()
+		h.enablePublishing()
 	}
 	listener, err := net.Listen("tcp", h.cfg.feedAddr())
 	if err != nil {
--- a/internal/fleet/controlfeed.go
+++ b/internal/fleet/controlfeed.go
@@ -33,10 +33,10 @@
 func (h *ControlHost) position(to feed.HostInfo) feed.Cursor {
 	position := feed.Cursor{Peers: h.peersRevision, Current: h.current, Started: true}
 	if to.Control { // control hosts get the document from the log, and place no flows
-		position.Revision, position.Followers = h.catalog.Revision(), h.entryHosts.ownRevision()
+		position.Revision, position.Followers = h.catalog.Revision(), h.followersPosition()
 		return position
 	}
-	position.Revision, position.Version, position.Suspects = h.catalog.SteeringRevision(), h.version, h.suspects.revision
+	position.Revision, position.Version, position.Suspects = h.steeringPosition(), h.version, h.suspects.revision
 	return position
 }
 
@@ -84,7 +84,7 @@
 	}
 	if !follower.Control {
 		h.recordEntryHosts(follower)
-		if h.entryHosts.followerChanged(follower, connected) {
+		if h.entryHosts.followerChanged(follower, connected) && !h.features.FastStart { // else tick notifies
 			h.changes.notify()
 		}
 	}
@@ -205,6 +205,7 @@
 	current := h.host.Status().Current
 	h.mu.Lock()
 	changed := h.catalog.Tick(h.now()) || current != h.current
+	changed = h.publishFollowers() || changed
 	quorumChanged := current != h.current
 	h.current = current
 	var records []catalog.Record
--- /dev/null
+++ b/internal/fleet/publishing_test.go
@@ -0,0 +1,58 @@
+package fleet
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"greengagequay/internal/catalog"
+	"greengagequay/internal/feed"
+)
+
+// Guards against changes that followers learn of only at the next heartbeat, and against
+// a position of its own for each change while thousands of backend servers start.
+func TestChangesArePublishedTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		h := newBenchControl(nil)
+		defer h.log.Close(time.Second)
+		defer h.cancel()
+		h.enablePublishing()
+		time.Sleep(time.Second)
+		entry := feed.Hello{From: feed.HostInfo{Addr: "e1"}}
+		announce := func(n byte) {
+			address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, n}), 80)
+			c.Assert(h.Announce(catalog.Heartbeat{ID: fmt.Sprint(n), Service: "orders", Address: address, Born: 1, Sequence: 1}), qt.IsNil)
+		}
+		_, cursor, _ := h.Next(entry, feed.Cursor{})
+		announce(1)
+		u, cursor, ok := h.Next(entry, cursor)
+		c.Assert(ok, qt.IsTrue, qt.Commentf("after a quiet time a change is published at once"))
+		c.Assert(u.Records, qt.HasLen, 1)
+
+		changed, began := h.Changed(), time.Now()
+		for n := range byte(3) {
+			announce(2 + n)
+			time.Sleep(time.Millisecond)
+		}
+		c.Assert(h.Position(entry.From), qt.Equals, cursor)
+		<-changed
+		c.Assert(time.Since(began), qt.Equals, minPublishInterval)
+		u, cursor, ok = h.Next(entry, cursor)
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(u.Records, qt.HasLen, 3)
+		_, _, ok = h.Next(entry, cursor)
+		c.Assert(ok, qt.IsFalse)
+
+		control := feed.HostInfo{Control: true}
+		before := h.Position(control)
+		h.FollowerChanged(feed.HostInfo{Addr: "e2"}, true)
+		c.Assert(h.Position(control), qt.Equals, before, qt.Commentf("the list of followers is published once a tick"))
+		c.Assert(h.publishFollowers(), qt.IsTrue)
+		c.Assert(h.Position(control).Followers, qt.Equals, uint64(1))
+	})
+}
