--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -74,6 +74,11 @@
 	cold             coldServices
 	shares           sharePool
 	orders           orderLog
+	// published, publishedLevels and publishedFollowers are the revisions that followers
+	// are told of, see enablePublishing.
+	published          uint64
+	publishedLevels    uint64
+	publishedFollowers uint64
 }
 
 func StartControl(cfg Config, a Adapter, log *eventlog.Log) (*ControlHost, error) {
@@ -106,6 +111,7 @@
 	h.loadHint()
 	if h.features.FastStart {
 		h.loadEntriesHint()
+		h.enablePublishing()
 	}
 	listener, err := net.Listen("tcp", h.cfg.feedAddr())
 	if err != nil {
--- a/internal/fleet/controlfeed.go
+++ b/internal/fleet/controlfeed.go
@@ -33,12 +33,11 @@
 func (h *ControlHost) position(to feed.HostInfo) feed.Cursor {
 	position := feed.Cursor{Peers: h.peersRevision, Current: h.current, Started: true}
 	if to.Control { // control hosts get the document from the log, and place no flows
-		position.Revision, position.Followers = h.catalog.Revision(), h.entryHosts.ownRevision()
+		position.Revision, position.Followers = h.catalog.Revision(), h.followersPosition()
 		return position
 	}
-	position.Revision, position.Version, position.Suspects = h.catalog.SteeringRevision(), h.version, h.suspects.revision
-	position.Levels = h.levelsRevision()
-	position.Evacuations = h.orders.position()
+	position.Revision, position.Version, position.Suspects = h.steeringPosition(), h.version, h.suspects.revision
+	position.Levels, position.Evacuations = h.levelsPosition(), h.orders.position()
 	return position
 }
 
@@ -92,7 +91,7 @@
 	}
 	if !follower.Control {
 		h.recordEntryHosts(follower)
-		if h.entryHosts.followerChanged(follower, connected) {
+		if h.entryHosts.followerChanged(follower, connected) && !h.features.FastStart { // else tick notifies
 			h.changes.notify()
 		}
 	}
@@ -219,6 +218,7 @@
 	h.mu.Lock()
 	changed := h.catalog.Tick(h.now()) || current != h.current
 	changed = h.admitOwned() || changed
+	changed = h.publishFollowers() || changed
 	quorumChanged := current != h.current
 	h.current = current
 	var records []catalog.Record
