Tell a full backend server from a failed one, and look up openings faster

A backend server that accepts no further connections leaves opening packets unanswered like a failed one, and was reported to all entry hosts as a suspect although it answered on its open flows.

The map of openings had netip addresses as keys, whose hash took most of a look-up. Its keys are now numbers, and it is not looked at while empty. Table gets Server, Timeout and IdleTimeout for the tracking of flows.

--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -88,12 +88,13 @@
 // Steerer decides about the packets at one entry host. It is not safe for
 // concurrent use.
 type Steerer struct {
-	cfg      Config
-	table    *Table
-	openings map[Flow]opening
-	lastUsed map[string]time.Duration // when a flow was last placed on a backend server, by id
-	drains   drains
-	suspects suspects
+	cfg            Config
+	table          *Table
+	openings       map[flowKey]opening
+	lastUsed       map[string]time.Duration // when a flow was last placed on a backend server, by id
+	drains         drains
+	suspects       suspects
+	requestAnswers requestAnswers
 }
 
 // opening is a flow that this host placed and whose caller may still retransmit
@@ -122,8 +123,8 @@
 // New returns a steerer.
 func New(cfg Config) *Steerer {
 	return &Steerer{
-		cfg: cfg, table: Build(nil, nil), openings: map[Flow]opening{}, lastUsed: map[string]time.Duration{},
-		drains: drains{}, suspects: newSuspects(),
+		cfg: cfg, table: Build(nil, nil), openings: map[flowKey]opening{}, lastUsed: map[string]time.Duration{},
+		drains: drains{}, suspects: newSuspects(), requestAnswers: requestAnswers{},
 	}
 }
 
@@ -155,18 +156,22 @@
 	case server.Status == catalog.Gone:
 		return Decision{Verdict: Refuse, Reason: ServerGone, Server: server}
 	}
-	return Decision{Verdict: Forward, Reason: ByToken, Server: server, Opened: s.confirm(now, p.Flow(), server)}
+	return Decision{Verdict: Forward, Reason: ByToken, Server: server, Opened: s.confirm(now, &p, server)}
 }
 
 // confirm records that a flow is open. It returns how long that took if this host
 // placed the flow and this is its first confirmation, else 0.
-func (s *Steerer) confirm(now time.Duration, f Flow, server *Server) time.Duration {
-	o, ok := s.openings[f]
+func (s *Steerer) confirm(now time.Duration, p *Packet, server *Server) time.Duration {
+	if len(s.openings) == 0 {
+		return 0
+	}
+	key := p.Flow().key()
+	o, ok := s.openings[key]
 	if !ok || o.answered {
 		return 0
 	}
 	o.answered = true
-	s.openings[f] = o
+	s.openings[key] = o
 	s.suspects.recordAnswer(now, server.ID)
 	return now - o.firstAt
 }
@@ -186,7 +191,7 @@
 		return Decision{Verdict: Refuse, Reason: NoRoute}
 	}
 	flow := p.Flow()
-	before := s.openings[flow]
+	before := s.openings[flow.key()]
 	if p.Copy == 0 || now-before.latestAt > openingRetention {
 		before = opening{}
 	}
@@ -204,7 +209,7 @@
 		return Decision{Verdict: Refuse, Reason: NoServer, Service: d.Service, Unanswered: d.Unanswered}
 	}
 	s.lastUsed[d.Server.ID] = now
-	s.openings[flow] = opening{firstAt: before.firstAt, latestAt: now, server: d.Server, tried: append(before.tried, d.Server.ID)}
+	s.openings[flow.key()] = opening{firstAt: before.firstAt, latestAt: now, server: d.Server, tried: append(before.tried, d.Server.ID)}
 	return d
 }
 
@@ -213,7 +218,7 @@
 // hosts, else nil.
 func (s *Steerer) recordUnanswered(now time.Duration, server *Server) *Server {
 	s.suspects.add(now, server.ID, server.Born)
-	if !s.suspects.hasRecentAnswer(now) {
+	if !s.suspects.hasRecentAnswer(now) || s.requestAnswers.isRecent(now, server) {
 		return nil
 	}
 	return server
@@ -227,6 +232,7 @@
 		}
 	}
 	s.suspects.expire(now)
+	s.requestAnswers.expire(now)
 	s.drains.expire(now, s.cfg.DrainFallback)
 	for id := range s.lastUsed {
 		if s.table.tokens[TokenOf(id)] == nil {
--- a/internal/steering/suspicion.go
+++ b/internal/steering/suspicion.go
@@ -33,13 +33,25 @@
 
 // add records that a backend server left an opening packet unanswered.
 func (s *suspects) add(now time.Duration, id string, born int64) {
+	x := s.get(id, born)
+	x.unanswered++
+	x.until = max(x.until, now+min(time.Duration(x.unanswered)*suspectDuration, maxSuspectDuration))
+}
+
+// avoid makes a backend server a suspect for a time.
+func (s *suspects) avoid(now time.Duration, id string, born int64, duration time.Duration) {
+	x := s.get(id, born)
+	x.until = max(x.until, now+duration)
+}
+
+// get returns the suspicion of a backend server, a new one if there is none.
+func (s *suspects) get(id string, born int64) *suspicion {
 	x := s.byID[id]
 	if x == nil || x.born != born {
 		x = &suspicion{born: born}
 		s.byID[id] = x
 	}
-	x.unanswered++
-	x.until = max(x.until, now+min(time.Duration(x.unanswered)*suspectDuration, maxSuspectDuration))
+	return x
 }
 
 // recordAnswer records that a backend server answered.
--- a/internal/steering/table.go
+++ b/internal/steering/table.go
@@ -36,10 +36,11 @@
 // Table holds the routes and backend servers known to an entry host. It is
 // immutable.
 type Table struct {
-	Version  uint64 // version of the document
-	routes   map[netip.AddrPort]*document.Route
-	services map[string][]*Server
-	tokens   map[Token]*Server
+	Version     uint64        // version of the document
+	IdleTimeout time.Duration // after which an idle flow may be dropped, 0 if the document does not say
+	routes      map[netip.AddrPort]*document.Route
+	services    map[string][]*Server
+	tokens      map[Token]*Server
 }
 
 // Build returns the table of a document and the known backend servers. If the
@@ -47,7 +48,7 @@
 func Build(d *document.Document, records []catalog.Record) *Table {
 	t := &Table{routes: map[netip.AddrPort]*document.Route{}}
 	if d != nil {
-		t.Version = d.Version
+		t.Version, t.IdleTimeout = d.Version, time.Duration(d.IdleTimeout)*time.Millisecond
 		for i := range d.Routes {
 			t.routes[d.Routes[i].Address] = &d.Routes[i]
 		}
@@ -58,7 +59,7 @@
 // WithServers returns a table of the same document with other backend servers.
 func (t *Table) WithServers(records []catalog.Record) *Table {
 	next := &Table{
-		Version: t.Version, routes: t.routes,
+		Version: t.Version, IdleTimeout: t.IdleTimeout, routes: t.routes,
 		services: map[string][]*Server{}, tokens: make(map[Token]*Server, len(records)),
 	}
 	for _, r := range records {
@@ -106,6 +107,18 @@
 	return time.Duration(r.Aim) * time.Millisecond
 }
 
+// Timeout returns the timeout of a route's requests, 0 if no route has the address.
+func (t *Table) Timeout(route netip.AddrPort) time.Duration {
+	r := t.routes[route]
+	if r == nil {
+		return 0
+	}
+	return time.Duration(r.Timeout) * time.Millisecond
+}
+
+// Server returns the backend server with a token, or nil.
+func (t *Table) Server(token Token) *Server { return t.tokens[token] }
+
 // Ready reports whether the table is sufficient to decide about new flows: it has
 // a document and knows backend servers, even if all of them are gone.
 func (t *Table) Ready() bool { return t.Version != 0 && len(t.tokens) > 0 }
