Ignore answers of an earlier start of a backend server

A flow of the start before could overwrite the answer of the present start, so that a full backend server would have been reported as failed.

--- a/internal/steering/requests.go
+++ b/internal/steering/requests.go
@@ -29,9 +29,12 @@
 }
 
 // RecordRequestAnswer records that a backend server answered a request on an open flow.
-// Unlike the answer to an opening packet it ends no suspicion.
+// Unlike the answer to an opening packet it ends no suspicion. Late answers of an earlier
+// start are ignored.
 func (s *Steerer) RecordRequestAnswer(now time.Duration, id string, born int64) {
-	s.requestAnswers[id] = requestAnswer{born: born, at: now}
+	if s.requestAnswers[id].born <= born {
+		s.requestAnswers[id] = requestAnswer{born: born, at: now}
+	}
 }
 
 // RecordRefusal records that a backend server refused a connection. It is avoided for
