Track flows on entry hosts, reset those of servers that are gone, report samples

With the contract health an entry host observes each packet, acts on the outcomes every 100 ms, and resets the flows of backend servers that are gone, idle ones included: before, the next request on such a flow was lost. Every 500 ms it sends at most 32 outcomes to the control hosts that it follows. Control hosts ignore them and no longer wake their followers for a report without suspects.

PacketFormat gets AppendResetTo and MaxData.

--- a/internal/fleet/adapter.go
+++ b/internal/fleet/adapter.go
@@ -23,6 +23,12 @@
 	PutTarget(target []byte, id string)
 	// AppendReset appends to buf a reset that answers a datagram.
 	AppendReset(buf, datagram []byte) []byte
+	// AppendResetTo appends to buf a reset of a flow. ack is the last acknowledgement
+	// number of the caller.
+	AppendResetTo(buf []byte, f steering.Flow, ack uint32) []byte
+	// MaxData returns the largest number of data bytes in a packet. In a request of
+	// several packets all but the last one hold that many.
+	MaxData() int
 	// RequestID returns the id of the request that starts in a datagram, or
 	// empty if it contains no id.
 	RequestID(datagram []byte) string
--- a/internal/fleet/controlfeed.go
+++ b/internal/fleet/controlfeed.go
@@ -93,10 +93,12 @@
 // Reported passes the suspects in an entry host's report to the other entry hosts
 // that follow this host.
 func (h *ControlHost) Reported(follower feed.HostInfo, r feed.Report) {
-	h.mu.Lock()
-	h.suspects.add(follower.Addr, r.Suspects)
-	h.mu.Unlock()
-	h.changes.notify()
+	if len(r.Suspects) > 0 {
+		h.mu.Lock()
+		h.suspects.add(follower.Addr, r.Suspects)
+		h.mu.Unlock()
+		h.changes.notify()
+	}
 }
 
 // FrameFailed handles a message from or to the host at addr that could not be decoded
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -39,6 +39,7 @@
 	cancel       context.CancelFunc
 	done         sync.WaitGroup
 	counts       packetCounts
+	flows        *flowTracker // nil without Features.Pace
 
 	mu           sync.Mutex // guards the following
 	steerer      *steering.Steerer
@@ -58,6 +59,9 @@
 		documents: map[string]*document.Document{},
 	}
 	h.counts = newPacketCounts(h.metrics)
+	if h.features.Pace {
+		h.flows = newFlowTracker(cfg, h.format, h.metrics)
+	}
 	h.controlHosts = newControlHosts(ctx, feed.HostInfo{Name: cfg.Name, Zone: cfg.Zone, Addr: cfg.feedAddr()}, cfg.Via, h)
 	h.controlHosts.setSeeds(cfg.seedFeedAddrs())
 	if err := h.start(a); err != nil {
@@ -82,6 +86,9 @@
 	h.done.Go(func() { _ = h.server.Serve(ready) })
 	h.done.Go(h.servePackets)
 	h.done.Go(h.loop)
+	if h.flows != nil {
+		h.done.Go(h.trackFlows)
+	}
 	serveMetrics(h.ctx, h.cfg.Metrics, h.metrics, h.log)
 	return nil
 }
@@ -213,6 +220,7 @@
 func (h *EntryHost) buildTable(build func(servers []catalog.Record) *steering.Table) {
 	began := h.now()
 	h.steerer.SetTable(began, build(h.catalog.Since(0, "")))
+	h.flows.setTable(began, h.steerer.Table())
 	h.pacer.record(began, h.now())
 }
 
--- a/internal/fleet/packets.go
+++ b/internal/fleet/packets.go
@@ -60,8 +60,10 @@
 		return
 	}
 	h.mu.Lock()
-	d := h.steerer.Decide(h.now(), packet)
-	table, age := h.steerer.Table(), h.now()-h.lastUpdateAt
+	now := h.now()
+	d := h.steerer.Decide(now, packet)
+	h.flows.observe(now, packet, d)
+	table, age := h.steerer.Table(), now-h.lastUpdateAt
 	h.mu.Unlock()
 	h.counts.byReason[d.Reason].Inc(1)
 	if d.Opened > 0 {
@@ -109,10 +111,15 @@
 	})
 }
 
-// sendReset resets a flow. Callers receive packets at the same port as this host.
+// sendReset resets a flow.
 func (h *EntryHost) sendReset(datagram []byte, p steering.Packet) {
-	port := uint16(h.conn.LocalAddr().(*net.UDPAddr).Port)
-	h.sender.send(h.format.AppendReset(nil, datagram), netip.AddrPortFrom(p.Caller.Addr(), port))
+	h.sender.send(h.format.AppendReset(nil, datagram), h.callerAddr(p.Caller))
+}
+
+// callerAddr returns the address at which a caller receives packets: its port is that of
+// this host.
+func (h *EntryHost) callerAddr(caller netip.AddrPort) netip.AddrPort {
+	return netip.AddrPortFrom(caller.Addr(), uint16(h.conn.LocalAddr().(*net.UDPAddr).Port))
 }
 
 // decisionInputs holds what a decision was based on, besides the packet.
