--- a/internal/conntrack/bench_test.go
+++ b/internal/conntrack/bench_test.go
@@ -19,7 +19,7 @@
 }
 
 type baselineOpening struct {
-	firstAt, latestAt time.Duration
+	firstAt, _ time.Duration
 	server            *steering.Server
 	tried             []string
 	answered          bool
