--- a/internal/conntrack/conntrack.go
+++ b/internal/conntrack/conntrack.go
@@ -232,7 +232,7 @@
 	}
 	t.endWait(i)
 	if !withData && rise <= maxAnswerBytes {
-		t.report(f, Outcome{Kind: Answered, Latency: at.since(f.waitAt), Bytes: int(rise)})
+		t.report(f, Answered, at.since(f.waitAt), int(rise))
 	}
 }
 
@@ -261,7 +261,7 @@
 func (t *Table) end(now time.Duration, i uint32, reset bool) {
 	f := &t.flows[i]
 	if f.has(pending) && stampOf(now).since(f.waitAt)+useGranularity >= t.requestTimeout(f) {
-		t.report(f, Outcome{Kind: Unanswered})
+		t.report(f, Unanswered, 0, 0)
 	}
 	if reset {
 		t.remove(i)
@@ -270,11 +270,17 @@
 	t.wait(now, i, closed)
 }
 
-// report adds an outcome of a flow.
-func (t *Table) report(f *flow, o Outcome) {
-	s := &t.servers.list[f.server]
+// report adds an outcome of a flow. It writes to the place of an earlier outcome if there
+// is one, since copies of outcomes take a tenth of the time of a packet.
+func (t *Table) report(f *flow, kind Kind, latency time.Duration, bytes int) {
+	n := len(t.outcomes)
+	if n == cap(t.outcomes) {
+		t.outcomes = append(t.outcomes, Outcome{})
+	}
+	t.outcomes = t.outcomes[:n+1]
+	o, s := &t.outcomes[n], &t.servers.list[f.server]
 	o.Server, o.Born, o.Service, o.Route = s.id, s.born, s.service, f.key.routeAddr()
-	t.outcomes = append(t.outcomes, o)
+	o.Kind, o.Latency, o.Bytes = kind, latency, bytes
 }
 
 // requestTimeout returns how long a request of a flow may take.
@@ -321,11 +327,11 @@
 			return
 		}
 		if f.copies < 2 {
-			t.report(f, Outcome{Kind: Refused})
+			t.report(f, Refused, 0, 0)
 		}
 		t.remove(i)
 	case waited >= t.requestTimeout(f):
-		t.report(f, Outcome{Kind: Unanswered})
+		t.report(f, Unanswered, 0, 0)
 		t.endWait(i)
 		f.flags |= unseen
 	}
