--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -42,6 +42,7 @@
 	counts       packetCounts
 	held         *heldPackets // nil without Features.FastStart
 	invitations  *net.UDPConn // nil if the host does not listen for invitations
+	flows        *flowTracker // nil without Features.Pace
 
 	mu           sync.Mutex // guards the following
 	steerer      *steering.Steerer
@@ -69,6 +70,9 @@
 	if h.features.FastStart {
 		h.held = newHeldPackets(h.metrics)
 	}
+	if h.features.Pace {
+		h.flows = newFlowTracker(cfg, h.format, h.metrics)
+	}
 	h.controlHosts = newControlHosts(ctx, feed.HostInfo{Name: cfg.Name, Zone: cfg.Zone, Addr: cfg.feedAddr()}, cfg.Via, h)
 	if h.features.FastStart {
 		h.controlHosts.syncPause = warmSyncPause
@@ -101,6 +105,9 @@
 	}
 	h.done.Go(h.loop)
 	h.registerEvacuations()
+	if h.flows != nil {
+		h.done.Go(h.trackFlows)
+	}
 	serveMetrics(h.ctx, h.cfg.Metrics, h.metrics, h.log)
 	return nil
 }
@@ -241,6 +248,7 @@
 func (h *EntryHost) buildTable(build func(servers []catalog.Record) *steering.Table) {
 	began := h.now()
 	h.steerer.SetTable(began, build(h.catalog.Since(0, "")))
+	h.flows.setTable(began, h.steerer.Table())
 	h.pacer.record(began, h.now())
 	h.checkHeld()
 }
--- a/internal/fleet/held.go
+++ b/internal/fleet/held.go
@@ -172,6 +172,7 @@
 		return false
 	}
 	d := h.steerer.DecideHeld(now, p.Packet)
+	h.flows.observe(now, p.Packet, d)
 	h.recordMissing(now, d)
 	in := h.decisionInputs(now)
 	h.mu.Unlock()
--- a/internal/fleet/packets.go
+++ b/internal/fleet/packets.go
@@ -65,6 +65,9 @@
 	h.recordMissing(now, d)
 	in := h.decisionInputs(now)
 	held := h.hold(now, packet, d, buf)
+	if !held {
+		h.flows.observe(now, packet, d)
+	}
 	h.mu.Unlock()
 	if !held {
 		h.apply(buf, packet, d, in)
@@ -121,10 +124,15 @@
 	})
 }
 
-// sendReset resets a flow. Callers receive packets at the same port as this host.
+// sendReset resets a flow.
 func (h *EntryHost) sendReset(datagram []byte, p steering.Packet) {
-	port := uint16(h.conn.LocalAddr().(*net.UDPAddr).Port)
-	h.sender.send(h.format.AppendReset(nil, datagram), netip.AddrPortFrom(p.Caller.Addr(), port))
+	h.sender.send(h.format.AppendReset(nil, datagram), h.callerAddr(p.Caller))
+}
+
+// callerAddr returns the address at which a caller receives packets: its port is that of
+// this host.
+func (h *EntryHost) callerAddr(caller netip.AddrPort) netip.AddrPort {
+	return netip.AddrPortFrom(caller.Addr(), uint16(h.conn.LocalAddr().(*net.UDPAddr).Port))
 }
 
 // decisionInputs holds what a decision was based on, besides the packet.
--- a/internal/steering/held.go
+++ b/internal/steering/held.go
@@ -15,9 +15,10 @@
 func (s *Steerer) DecideHeld(now time.Duration, p Packet) Decision {
 	d := s.Decide(now, p)
 	if p.Opening && d.Verdict == Forward {
-		o := s.openings[p.Flow()]
+		key := p.Flow().key()
+		o := s.openings[key]
 		o.held = true
-		s.openings[p.Flow()] = o
+		s.openings[key] = o
 	}
 	return d
 }
--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -93,17 +93,17 @@
 // Steerer decides about the packets at one entry host. It is not safe for
 // concurrent use.
 type Steerer struct {
-	cfg      Config
-	table    *Table
-	openings map[Flow]opening
-	lastUsed map[string]time.Duration // when a flow was last placed on a backend server, by id
-	drains   drains
-	suspects suspects
-	cold     coldServers
-	turns    map[string]*turns // by service
-	shares   map[Token]Share   // shares below FullShare
-	// sharesRevision increases when shares changes.
-	sharesRevision uint64
+	cfg            Config
+	table          *Table
+	openings       map[flowKey]opening
+	lastUsed       map[string]time.Duration // when a flow was last placed on a backend server, by id
+	drains         drains
+	suspects       suspects
+	requestAnswers requestAnswers
+	cold           coldServers
+	turns          map[string]*turns // by service
+	shares         map[Token]Share   // shares below FullShare
+	sharesRevision uint64            // increases when shares changes
 	zones          evacuatedZones
 }
 
@@ -142,8 +142,9 @@
 // New returns a steerer.
 func New(cfg Config) *Steerer {
 	return &Steerer{
-		cfg: cfg, table: Build(nil, nil), openings: map[Flow]opening{}, lastUsed: map[string]time.Duration{},
-		drains: drains{}, suspects: newSuspects(), cold: newColdServers(cfg), turns: map[string]*turns{}, shares: map[Token]Share{},
+		cfg: cfg, table: Build(nil, nil), openings: map[flowKey]opening{}, lastUsed: map[string]time.Duration{},
+		drains: drains{}, suspects: newSuspects(), requestAnswers: requestAnswers{}, cold: newColdServers(cfg),
+		turns: map[string]*turns{}, shares: map[Token]Share{},
 	}
 }
 
@@ -175,18 +176,22 @@
 	case server.Status == catalog.Gone:
 		return Decision{Verdict: Refuse, Reason: ServerGone, Server: server}
 	}
-	return Decision{Verdict: Forward, Reason: ByToken, Server: server, Opened: s.confirm(now, p.Flow(), server)}
+	return Decision{Verdict: Forward, Reason: ByToken, Server: server, Opened: s.confirm(now, &p, server)}
 }
 
 // confirm records that a flow is open. It returns how long that took if this host
 // placed the flow and this is its first confirmation, else 0.
-func (s *Steerer) confirm(now time.Duration, f Flow, server *Server) time.Duration {
-	o, ok := s.openings[f]
+func (s *Steerer) confirm(now time.Duration, p *Packet, server *Server) time.Duration {
+	if len(s.openings) == 0 {
+		return 0
+	}
+	key := p.Flow().key()
+	o, ok := s.openings[key]
 	if !ok || o.answered {
 		return 0
 	}
 	o.answered = true
-	s.openings[f] = o
+	s.openings[key] = o
 	s.suspects.recordAnswer(now, server.ID)
 	return now - o.firstAt
 }
@@ -206,7 +211,7 @@
 		return Decision{Verdict: Refuse, Reason: NoRoute}
 	}
 	flow := p.Flow()
-	before := s.openings[flow]
+	before := s.openings[flow.key()]
 	if p.Copy == 0 || now-before.latestAt > openingRetention {
 		before = opening{}
 	}
@@ -229,7 +234,7 @@
 	}
 	s.cold.recordPlaced(now, d.Server)
 	s.lastUsed[d.Server.ID] = now
-	s.openings[flow] = opening{firstAt: before.firstAt, latestAt: now, server: d.Server, tried: append(before.tried, d.Server.ID)}
+	s.openings[flow.key()] = opening{firstAt: before.firstAt, latestAt: now, server: d.Server, tried: append(before.tried, d.Server.ID)}
 	return d
 }
 
@@ -238,7 +243,7 @@
 // hosts, else nil.
 func (s *Steerer) recordUnanswered(now time.Duration, server *Server) *Server {
 	s.suspects.add(now, server.ID, server.Born)
-	if !s.suspects.hasRecentAnswer(now) {
+	if !s.suspects.hasRecentAnswer(now) || s.requestAnswers.isRecent(now, server) {
 		return nil
 	}
 	return server
@@ -252,6 +257,7 @@
 		}
 	}
 	s.suspects.expire(now)
+	s.requestAnswers.expire(now)
 	s.drains.expire(now, s.cfg.DrainFallback)
 	s.cold.expire(now, s.table)
 	for id := range s.lastUsed {
