Plan zones and refusals on control hosts, and carry them out on entry hosts

Change: control hosts sum the response times that their followers report by service, zone and priority, exchange the sums, and send plan and refusals to entry hosts, which apply them with running remainders. Room counts slots of ready servers weighted with their share, without evacuated zones.

--- a/internal/feed/frame.go
+++ b/internal/feed/frame.go
@@ -103,9 +103,10 @@
 	Plan        []spread.ZoneShare `cbor:",omitempty"` // to entry hosts: the whole plan, if it changed since the last update
 	HasPlan     bool               `cbor:",omitempty"` // whether Plan and Refusals are set, which may be empty
 	// Refusals holds all refusals in force, together with Plan.
-	Refusals  []admission.Refusal `cbor:",omitempty"`
-	Demands   []spread.Demand     `cbor:",omitempty"` // to control hosts: demand of the sender's followers
-	Followers *[]HostInfo         `cbor:",omitempty"` // to control hosts: entry hosts that follow the sender, if they changed since the last update
+	Refusals   []admission.Refusal `cbor:",omitempty"`
+	Demands    []spread.Demand     `cbor:",omitempty"` // to control hosts: demand of the sender's followers
+	HasDemands bool                `cbor:",omitempty"` // whether Demands is set, which may be empty
+	Followers  *[]HostInfo         `cbor:",omitempty"` // to control hosts: entry hosts that follow the sender, if they changed since the last update
 }
 
 // IsGreeting reports whether the update only identifies the sender, which has not
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -73,6 +73,7 @@
 	suspects         suspectLog
 	cold             coldServices
 	shares           sharePool
+	zones            zonePlanner
 	orders           orderLog
 	// published, publishedLevels and publishedFollowers are the revisions that followers
 	// are told of, see enablePublishing.
@@ -90,7 +91,7 @@
 		catalog: catalog.New(catalog.Config{Self: cfg.feedAddr(), Interval: cfg.Heartbeat(), ColdBound: coldBound(cfg, a) != warmup.Bound{}}),
 		cold:    coldServices{bound: coldBound(cfg, a)},
 		peers:   map[string]feed.HostInfo{}, lastConnectedAt: map[raft.ID]time.Duration{},
-		shares: sharePool{pool: pace.NewPool()},
+		shares: sharePool{pool: pace.NewPool()}, zones: newZonePlanner(),
 	}
 	if err := h.start(a); err != nil {
 		h.Stop()
--- a/internal/fleet/controlfeed.go
+++ b/internal/fleet/controlfeed.go
@@ -34,10 +34,11 @@
 	position := feed.Cursor{Peers: h.peersRevision, Current: h.current, Started: true}
 	if to.Control { // control hosts get the document from the log, and place no flows
 		position.Revision, position.Followers = h.catalog.Revision(), h.followersPosition()
+		position.Demands = h.zones.demandsRevision
 		return position
 	}
 	position.Revision, position.Version, position.Suspects = h.steeringPosition(), h.version, h.suspects.revision
-	position.Levels, position.Evacuations = h.levelsPosition(), h.orders.position()
+	position.Levels, position.Evacuations, position.Plan = h.levelsPosition(), h.orders.position(), h.zones.planRevision
 	return position
 }
 
@@ -63,6 +64,9 @@
 			own := h.entryHosts.ownList()
 			u.Followers = &own
 		}
+		if next.Demands != after.Demands {
+			u.Demands, u.HasDemands = h.zones.demands, true
+		}
 		return u, next, true
 	}
 	u.Records = h.catalog.SteeringSince(after.Revision)
@@ -72,6 +76,9 @@
 	if next.Levels != after.Levels {
 		u.Levels = h.shares.pool.Since(after.Levels)
 	}
+	if next.Plan != after.Plan {
+		u.Plan, u.Refusals, u.HasPlan = h.zones.plan, h.zones.refusals, true
+	}
 	if next.Evacuations != after.Evacuations {
 		u.Evacuations = h.orders.message(h.now())
 	}
@@ -127,6 +134,7 @@
 		delete(h.peers, addr)
 		h.peersRevision++
 		h.entryHosts.setRemote(addr, nil)
+		h.zones.planner.Forget(addr)
 	}
 	h.mu.Unlock()
 	h.log.Event("peer", "a followed control host connected or disconnected", eventlog.Fields{"address": addr, "connected": connected})
@@ -138,6 +146,9 @@
 	h.controlHosts.recordUpdate(addr, u)
 	h.mu.Lock()
 	changed := h.catalog.Merge(h.now(), addr, u.Records)
+	if u.HasDemands {
+		h.zones.planner.Receive(h.now(), addr, u.Demands)
+	}
 	if u.Followers != nil {
 		h.entryHosts.setRemote(addr, *u.Followers)
 		h.recordEntryHosts(*u.Followers...)
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -208,6 +208,7 @@
 	}
 	if h.features.Pace {
 		h.levels.receive(addr, u.Levels, h.steerer.SetShare)
+		h.receivePlan(u)
 	}
 	h.receiveEvacuations(addr, u.Evacuations)
 	changed := h.catalog.Merge(h.now(), addr, u.Records)
--- a/internal/fleet/shares.go
+++ b/internal/fleet/shares.go
@@ -32,6 +32,7 @@
 		for _, r := range h.catalog.SteeringSince(h.shares.revision) {
 			changed = append(changed, pace.Server{
 				Token: uint32(steering.TokenOf(r.ID)), ID: r.ID, Service: r.Service, Zone: r.Zone, Born: r.Born, Absent: r.Status >= catalog.Draining,
+				Slots: r.Slots, Silent: r.Status == catalog.Silent,
 			})
 		}
 		h.shares.revision = revision
@@ -46,6 +47,7 @@
 		return
 	}
 	h.shares.pool.Add(h.now(), follower.Zone, r.Samples)
+	h.addDemand(follower, r)
 	h.metrics.Counter("pace.samples").Inc(int64(len(r.Samples)))
 	h.metrics.Counter("pace.unsampled").Inc(int64(r.Unsampled))
 }
@@ -66,7 +68,8 @@
 		h.metrics.Gauge("pace.below_full." + name).Update(int64(s.Below))
 		h.metrics.Gauge("pace.lowest_share." + name).Update(int64(s.Lowest))
 	}
-	return len(changes) > 0 || after != before
+	zonesChanged := h.tickZones()
+	return len(changes) > 0 || after != before || zonesChanged
 }
 
 func (h *ControlHost) logShares(changes []pace.Change) {
--- a/internal/fleet/shares_test.go
+++ b/internal/fleet/shares_test.go
@@ -27,7 +27,7 @@
 	defer log.Close(time.Second)
 	h := &ControlHost{
 		features: Features{Pace: true}, log: log, metrics: metrics.New(), entryHosts: newEntryHosts(), changes: newNotifier(),
-		started: time.Now().Add(-time.Minute), catalog: catalog.New(catalog.Config{Interval: time.Second}), shares: sharePool{pool: pace.NewPool()},
+		started: time.Now().Add(-time.Minute), catalog: catalog.New(catalog.Config{Interval: time.Second}), shares: sharePool{pool: pace.NewPool()}, zones: newZonePlanner(),
 	}
 	entryHost := feed.Hello{From: feed.HostInfo{Addr: "e1"}}
 	add := func(n int) {
--- /dev/null
+++ b/internal/fleet/zoneplan.go
@@ -0,0 +1,221 @@
+package fleet
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"greengagequay/internal/admission"
+	"greengagequay/internal/document"
+	"greengagequay/internal/eventlog"
+	"greengagequay/internal/feed"
+	"greengagequay/internal/pace"
+	"greengagequay/internal/spread"
+	"greengagequay/internal/steering"
+)
+
+// zonePlanner is a control host's view of the load of services in each zone. The holder
+// of ControlHost.mu uses it.
+type zonePlanner struct {
+	planner    *spread.Planner
+	controller *admission.Controller
+	own        map[demandKey]*answerSum // answers that followers reported since ownSince
+	ownSince   time.Duration
+	routes     map[uint32]*document.Route // by hash of the address
+	document   *document.Document         // to which routes belongs
+
+	demands         []spread.Demand // demand of the followers, for other control hosts
+	demandsRevision uint64
+	plan            []spread.ZoneShare
+	refusals        []admission.Refusal
+	planRevision    uint64
+}
+
+type demandKey struct {
+	service, zone string
+	priority      int
+}
+
+// answerSum sums up answers.
+type answerSum struct {
+	busyMs   float64 // response times in milliseconds
+	pressure float64 // response times divided by the target latency
+	answers  float64
+}
+
+func newZonePlanner() zonePlanner {
+	return zonePlanner{planner: spread.NewPlanner(), controller: admission.NewController(), own: map[demandKey]*answerSum{}}
+}
+
+// addDemand adds the answers in a report of an entry host. Answers that the report
+// leaves out count like the mean of the others. The caller holds mu.
+func (h *ControlHost) addDemand(follower feed.HostInfo, r feed.Report) {
+	z := &h.zones
+	z.indexRoutes(h.cold.document)
+	scale := 1 + float64(r.Unsampled)/float64(len(r.Samples))
+	for _, x := range r.Samples {
+		server, known := h.shares.pool.Find(x.Token)
+		route := z.routes[x.Route]
+		if x.Kind != pace.Answered || !known || route == nil {
+			continue
+		}
+		key := demandKey{server.Service, follower.Zone, route.Priority}
+		sum := z.own[key]
+		if sum == nil {
+			sum = &answerSum{}
+			z.own[key] = sum
+		}
+		sum.busyMs += scale * float64(x.LatencyMs)
+		sum.answers += scale
+		if route.Aim > 0 {
+			sum.pressure += scale * float64(x.LatencyMs) / float64(route.Aim)
+		}
+	}
+}
+
+// indexRoutes indexes the routes of a document by hash, if it is another one.
+func (z *zonePlanner) indexRoutes(d *document.Document) {
+	if d == nil || d == z.document {
+		return
+	}
+	z.document, z.routes = d, make(map[uint32]*document.Route, len(d.Routes))
+	for i := range d.Routes {
+		z.routes[routeHash(d.Routes[i].Address)] = &d.Routes[i]
+	}
+}
+
+// takeDemands returns the demand of the followers since the last call.
+func (z *zonePlanner) takeDemands(now time.Duration) []spread.Demand {
+	elapsedMs := float64(now-z.ownSince) / float64(time.Millisecond)
+	var list []spread.Demand
+	for key, sum := range z.own {
+		list = append(list, spread.Demand{
+			Service: key.service, Zone: key.zone, Priority: key.priority, Busy: sum.busyMs / elapsedMs, Pressure: sum.pressure / sum.answers,
+		})
+	}
+	z.ownSince = now
+	clear(z.own)
+	return list
+}
+
+// tickZones updates the demand and the plan. It reports whether followers must be told.
+// It is called with each tick of the shares; the caller holds mu.
+func (h *ControlHost) tickZones() bool {
+	z, now := &h.zones, h.now()
+	hadDemand := len(z.demands) > 0
+	z.demands = z.takeDemands(now)
+	changed := hadDemand || len(z.demands) > 0
+	if changed {
+		z.demandsRevision++
+	}
+	z.planner.Receive(now, h.info.Addr, z.demands)
+	rooms := h.rooms()
+	plan, planChanged := z.planner.Tick(now, rooms)
+	refusals := z.refuse(rooms)
+	if planChanged || !slices.Equal(refusals, z.refusals) {
+		z.plan, z.refusals = plan, refusals
+		z.planRevision++
+		changed = true
+		h.logPlan()
+	}
+	return changed
+}
+
+// rooms returns the room of each service in each zone that is not evacuated. Silent
+// backend servers have none.
+func (h *ControlHost) rooms() []spread.Room {
+	evacuated := map[string]bool{}
+	for _, zone := range h.orders.set.Evacuated() {
+		evacuated[zone.Zone] = true
+	}
+	type key struct{ service, zone string }
+	slots := map[key]float64{}
+	h.shares.pool.Each(func(s pace.Server, share uint8) {
+		if !s.Silent && !evacuated[s.Zone] {
+			slots[key{s.Service, s.Zone}] += float64(s.Slots) * float64(share) / pace.FullShare
+		}
+	})
+	var rooms []spread.Room
+	for k, n := range slots {
+		rooms = append(rooms, spread.Room{Service: k.service, Zone: k.zone, Slots: n})
+	}
+	return rooms
+}
+
+// refuse adapts the refusals of all services to the averaged demand.
+func (z *zonePlanner) refuse(rooms []spread.Room) []admission.Refusal {
+	slots := map[string]float64{}
+	for _, r := range rooms {
+		slots[r.Service] += r.Slots
+	}
+	classes := map[string]map[int]admission.Class{}
+	for _, d := range z.planner.Demands() {
+		if classes[d.Service] == nil {
+			classes[d.Service] = map[int]admission.Class{}
+		}
+		c := classes[d.Service][d.Priority]
+		if total := c.Busy + d.Busy; total > 0 {
+			c.Pressure = (c.Pressure*c.Busy + d.Pressure*d.Busy) / total
+		}
+		c.Service, c.Priority, c.Busy = d.Service, d.Priority, c.Busy+d.Busy
+		classes[d.Service][d.Priority] = c
+	}
+	var all []admission.Refusal
+	for _, service := range slices.Sorted(maps.Keys(slots)) {
+		all = append(all, z.controller.Tick(service, slices.Collect(maps.Values(classes[service])), slots[service])...)
+	}
+	return all
+}
+
+// logPlan logs the plan and the refusals in force and updates their metrics.
+func (h *ControlHost) logPlan() {
+	away := map[string]float64{}
+	for _, s := range h.zones.plan {
+		away[s.Service+"."+s.From] += s.Share
+	}
+	for name := range h.zones.planGauges(away) {
+		h.metrics.Gauge("spread.away_percent." + name).Update(int64(math.Round(100 * away[name])))
+	}
+	refused := map[string]int{}
+	for _, r := range h.zones.refusals {
+		refused[fmt.Sprintf("%s.%d", r.Service, r.Priority)] = r.Percent
+	}
+	for _, d := range h.zones.planner.Demands() {
+		name := fmt.Sprintf("%s.%d", d.Service, d.Priority)
+		h.metrics.Gauge("admission.refused_percent." + name).Update(int64(refused[name]))
+	}
+	if h.log.Allow("plan") {
+		h.log.Write("plan", "changed the fractions of new flows that leave their zone or are refused", eventlog.Fields{"away": away, "refused_percent": refused})
+	}
+}
+
+// planGauges returns the names of all gauges that the plan has or had, so that those
+// that it no longer has become 0.
+func (z *zonePlanner) planGauges(away map[string]float64) map[string]bool {
+	names := map[string]bool{}
+	for name := range away {
+		names[name] = true
+	}
+	for _, d := range z.planner.Demands() {
+		names[d.Service+"."+d.Zone] = true
+	}
+	return names
+}
+
+// receivePlan puts the plan in an update of a control host in force for the zone of this
+// host. Control hosts plan with nearly the same figures, so the latest plan of any of
+// them holds. The caller holds mu.
+func (h *EntryHost) receivePlan(u feed.Update) {
+	if !u.HasPlan {
+		return
+	}
+	var shares []steering.ZoneShare
+	for _, s := range u.Plan {
+		if s.From == h.cfg.Zone {
+			shares = append(shares, steering.ZoneShare{Service: s.Service, Zone: s.To, Share: s.Share})
+		}
+	}
+	h.steerer.SetPlan(shares, u.Refusals)
+}
--- a/internal/pace/pool.go
+++ b/internal/pace/pool.go
@@ -39,6 +39,8 @@
 	Zone    string
 	Born    int64 // start time in Unix milliseconds
 	Absent  bool  // whether it gets no new flows any more
+	Slots   int   // requests that it processes at once
+	Silent  bool  // whether its heartbeats are missing
 }
 
 // Reason is why a share changed.
@@ -170,6 +172,7 @@
 		case known != nil && known.ID != x.ID:
 			continue // steering prefers the other one of the two with this token
 		case known != nil && !x.Absent && known.Born == x.Born && known.Service == x.Service:
+			known.Server = x
 			continue
 		case known != nil:
 			p.remove(known)
@@ -194,6 +197,23 @@
 	return changes
 }
 
+// Find returns a backend server that gets new flows.
+func (p *Pool) Find(token uint32) (Server, bool) {
+	s := p.servers[token]
+	if s == nil {
+		return Server{}, false
+	}
+	return s.Server, true
+}
+
+// Each calls fn for each backend server that gets new flows, with the share that
+// followers have.
+func (p *Pool) Each(fn func(s Server, share uint8)) {
+	for _, s := range p.servers {
+		fn(s.Server, s.sent)
+	}
+}
+
 func (p *Pool) add(s *server) {
 	p.servers[s.Token] = s
 	group := p.services[s.Service]
--- a/internal/steering/choose.go
+++ b/internal/steering/choose.go
@@ -29,8 +29,8 @@
 // Config.Shares the one whose turn is next: backend servers have few slots, so
 // consecutive flows should not go to the same one.
 func (s *Steerer) choose(now time.Duration, list []*Server, tried []string) *Server {
-	if s.cfg.Shares {
-		return s.chooseByTurn(now, list, tried)
+	if s.cfg.Shares && len(list) > 0 {
+		return s.chooseByTurn(now, zoneListKey{service: list[0].Service}, list, tried)
 	}
 	var best *Server
 	bestRank := rankExcluded
--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -66,11 +66,12 @@
 	OpenAlready                // a copy of an opening packet arrived after its flow was open
 	Cold                       // the backend servers of the service are cold, and this host may not use them now
 	Evacuated                  // all backend servers of the service that take flows are in evacuated zones
+	Overload                   // all zones are full, and flows of this priority are refused first
 )
 
 var reasonNames = [...]string{
 	"by_token", "placed", "placed_again", "no_state", "no_route", "no_server", "unknown_token", "server_gone", "open_already",
-	"cold", "evacuated",
+	"cold", "evacuated", "overload",
 }
 
 // String returns the name of the reason.
@@ -81,7 +82,7 @@
 	Verdict Verdict
 	Reason  Reason
 	Server  *Server // set for Forward, and for Refuse with ServerGone
-	Service string  // target service, set if Reason is Placed, PlacedAgain, NoServer, Cold or Evacuated
+	Service string  // target service, set if Reason is Placed, PlacedAgain, NoServer, Cold, Evacuated or Overload
 	// Opened is how long a flow placed by this host took to open. It is set for
 	// the first packet after the opening ones, and 0 for all others.
 	Opened time.Duration
@@ -101,9 +102,10 @@
 	suspects       suspects
 	requestAnswers requestAnswers
 	cold           coldServers
-	turns          map[string]*turns // by service
-	shares         map[Token]Share   // shares below FullShare
-	sharesRevision uint64            // increases when shares changes
+	turns          map[zoneListKey]*turns
+	plan           zonePlan
+	shares         map[Token]Share // shares below FullShare
+	sharesRevision uint64          // increases when shares changes
 	zones          evacuatedZones
 }
 
@@ -144,7 +146,7 @@
 	return &Steerer{
 		cfg: cfg, table: Build(nil, nil), openings: map[flowKey]opening{}, lastUsed: map[string]time.Duration{},
 		drains: drains{}, suspects: newSuspects(), requestAnswers: requestAnswers{}, cold: newColdServers(cfg),
-		turns: map[string]*turns{}, shares: map[Token]Share{},
+		turns: map[zoneListKey]*turns{}, shares: map[Token]Share{},
 	}
 }
 
@@ -156,6 +158,7 @@
 	}
 	s.drains.update(now, s.table, t)
 	s.table = t
+	clear(s.plan.zoneList)
 	return true
 }
 
@@ -223,12 +226,16 @@
 		d.Reason, d.Server = PlacedAgain, server
 		return d
 	}
-	if before.server != nil {
+	switch {
+	case before.server != nil:
 		d.Reason, d.Unanswered = PlacedAgain, s.recordUnanswered(now, before.server)
-	} else {
+		d.Server = s.choose(now, s.table.services[d.Service], before.tried)
+	case s.plan.refuses(d.Service, route.Priority):
+		return Decision{Verdict: Refuse, Reason: Overload, Service: d.Service}
+	default:
 		before.firstAt = now
+		d.Server = s.chooseByPlan(now, d.Service)
 	}
-	d.Server = s.choose(now, s.table.services[d.Service], before.tried)
 	if d.Server == nil {
 		return Decision{Verdict: Refuse, Reason: s.refusal(now, d.Service), Service: d.Service, Unanswered: d.Unanswered}
 	}
@@ -265,9 +272,9 @@
 			delete(s.lastUsed, id)
 		}
 	}
-	for service := range s.turns {
-		if len(s.table.services[service]) == 0 {
-			delete(s.turns, service)
+	for key := range s.turns {
+		if len(s.table.services[key.service]) == 0 {
+			delete(s.turns, key)
 		}
 	}
 }
--- a/internal/steering/turns.go
+++ b/internal/steering/turns.go
@@ -12,8 +12,8 @@
 	Value uint8 // from 1 to FullShare
 }
 
-// turns holds the order in which this host uses the backend servers of one service
-// (stride scheduling). Each has the virtual time of its next turn. The stride, the
+// turns holds the order in which this host uses the backend servers of one service, or
+// those in one zone (stride scheduling). Each has the virtual time of its next turn. The stride, the
 // distance between two of its turns, is FullShare divided by its share. With equal
 // shares, that is the order of least recent use.
 type turns struct {
@@ -66,11 +66,11 @@
 // if there is none. One that is new at this host or was in another rank before gets a
 // random position within its stride: otherwise all hosts would use it first, and one
 // that was not used for a while would get all its missed turns at once.
-func (s *Steerer) chooseByTurn(now time.Duration, list []*Server, tried []string) *Server {
+func (s *Steerer) chooseByTurn(now time.Duration, key zoneListKey, list []*Server, tried []string) *Server {
 	if len(list) == 0 {
 		return nil
 	}
-	t := s.turnsOf(list)
+	t := s.turnsOf(key, list)
 	best, bestRank := -1, rankExcluded
 	for i, server := range list {
 		p := &t.places[i]
@@ -91,13 +91,13 @@
 	return list[best]
 }
 
-// turnsOf returns the turns of a service, aligned to the list of the current table.
-func (s *Steerer) turnsOf(list []*Server) *turns {
-	service := list[0].Service
-	t := s.turns[service]
+// turnsOf returns the turns of a service, or of its backend servers in one zone if key
+// names one, aligned to their list in the current table.
+func (s *Steerer) turnsOf(key zoneListKey, list []*Server) *turns {
+	t := s.turns[key]
 	if t == nil {
 		t = &turns{}
-		s.turns[service] = t
+		s.turns[key] = t
 	}
 	sameList := len(t.list) == len(list) && &t.list[0] == &list[0]
 	if sameList && t.shares == s.sharesRevision {
--- /dev/null
+++ b/internal/steering/zoneplan.go
@@ -0,0 +1,113 @@
+package steering
+
+import (
+	"time"
+
+	"greengagequay/internal/admission"
+)
+
+// zonePlan holds which part of a service's new flows goes to other zones, and which is
+// refused. Fractions are applied by running remainders, so that each of them holds for
+// any sequence of flows and not only on average.
+type zonePlan struct {
+	away     map[string][]*zoneShare
+	refused  map[refusalKey]*remainder
+	zoneList map[zoneListKey][]*Server // backend servers of the current table by zone, filled on use
+}
+
+// zoneShare is the fraction of a service's new flows that goes to one zone.
+type zoneShare struct {
+	zone string
+	remainder
+}
+
+// remainder decides for which flows a fraction holds.
+type remainder struct{ fraction, sum float64 }
+
+// next reports whether the fraction holds for the next flow.
+func (r *remainder) next() bool {
+	r.sum += r.fraction
+	if r.sum < 1 {
+		return false
+	}
+	r.sum--
+	return true
+}
+
+type refusalKey struct {
+	service  string
+	priority int
+}
+
+type zoneListKey struct{ service, zone string }
+
+// ZoneShare is the fraction of a service's new flows at this host that goes to another
+// zone.
+type ZoneShare struct {
+	Service string
+	Zone    string
+	Share   float64
+}
+
+// SetPlan replaces the fractions of new flows that go to other zones or are refused.
+func (s *Steerer) SetPlan(shares []ZoneShare, refusals []admission.Refusal) {
+	const percent = 100
+	s.plan.away, s.plan.refused = map[string][]*zoneShare{}, map[refusalKey]*remainder{}
+	for _, x := range shares {
+		s.plan.away[x.Service] = append(s.plan.away[x.Service], &zoneShare{x.Zone, remainder{fraction: x.Share}})
+	}
+	for _, x := range refusals {
+		s.plan.refused[refusalKey{x.Service, x.Priority}] = &remainder{fraction: float64(x.Percent) / percent}
+	}
+}
+
+// refuses reports whether the next new flow of a service and priority is refused since
+// all zones are full.
+func (p *zonePlan) refuses(service string, priority int) bool {
+	r := p.refused[refusalKey{service, priority}]
+	return r != nil && r.next()
+}
+
+// zoneOf returns the zone of the backend servers for the next new flow of a service, or
+// empty for the zone of this host.
+func (p *zonePlan) zoneOf(service string) string {
+	zone := ""
+	for _, x := range p.away[service] {
+		if x.next() && zone == "" {
+			zone = x.zone
+		}
+	}
+	return zone
+}
+
+// serversIn returns the backend servers of a service in one zone.
+func (s *Steerer) serversIn(key zoneListKey) []*Server {
+	list, ok := s.plan.zoneList[key]
+	if ok {
+		return list
+	}
+	for _, server := range s.table.services[key.service] {
+		if server.Zone == key.zone {
+			list = append(list, server)
+		}
+	}
+	if s.plan.zoneList == nil {
+		s.plan.zoneList = map[zoneListKey][]*Server{}
+	}
+	s.plan.zoneList[key] = list
+	return list
+}
+
+// chooseByPlan returns the backend server for the first opening packet of a flow: one in
+// the zone that the plan names, if that is as good as any in another zone, else the one
+// that choose returns.
+func (s *Steerer) chooseByPlan(now time.Duration, service string) *Server {
+	if zone := s.plan.zoneOf(service); zone != "" {
+		key := zoneListKey{service, zone}
+		server := s.chooseByTurn(now, key, s.serversIn(key), nil)
+		if server != nil && s.rankOf(now, server, nil) <= rankOtherZone {
+			return server
+		}
+	}
+	return s.choose(now, s.table.services[service], nil)
+}
