--- a/internal/conntrack/conntrack.go
+++ b/internal/conntrack/conntrack.go
@@ -28,7 +28,13 @@
 	firstCopyLimit  = 600 * time.Millisecond
 	secondCopyLimit = 800 * time.Millisecond
 
-	maxRequestTimeout  = 2 * time.Second // also used for routes without a timeout
+	maxRequestTimeout = 2 * time.Second // also used for routes without a timeout
+	// A request that takes lateFactor times the target latency of its route counts as
+	// unanswered, but not before minRequestTimeout: packets that are lost twice take
+	// 0.6 s longer. With 2 s for all routes, a backend server that accepts requests and
+	// never answers got its full share of new flows for 2 s longer.
+	lateFactor         = 2
+	minRequestTimeout  = 700 * time.Millisecond
 	defaultIdleTimeout = 15 * time.Second
 	maxIdleTimeout     = 24 * time.Hour // well below the time after which stamps wrap around
 	// closedRetention is how long a flow is kept after FIN: the caller still
@@ -285,10 +291,14 @@
 
 // requestTimeout returns how long a request of a flow may take.
 func (t *Table) requestTimeout(f *flow) time.Duration {
-	if x := t.steering.Timeout(f.key.routeAddr()); x > 0 {
-		return min(x, maxRequestTimeout)
+	limit, route := maxRequestTimeout, f.key.routeAddr()
+	if x := t.steering.Timeout(route); x > 0 {
+		limit = min(limit, x)
 	}
-	return maxRequestTimeout
+	if aim := t.steering.Aim(route); aim > 0 {
+		limit = min(limit, max(lateFactor*aim, minRequestTimeout))
+	}
+	return limit
 }
 
 // Tick ends waits and removes flows that are idle. It returns the outcomes since the
--- a/internal/conntrack/conntrack_test.go
+++ b/internal/conntrack/conntrack_test.go
@@ -249,3 +249,26 @@
 		h.Tick(h.now)
 	}), qt.Equals, 0.0)
 }
+
+// Guards against a backend server that never answers and is found only after the longest
+// timeout, and against answers near the target that count as none.
+func TestRequestTimeout(t *testing.T) {
+	tests := []struct {
+		timeout, aim uint32 // milliseconds
+		want         time.Duration
+	}{
+		{10_000, 0, 2 * time.Second},
+		{1000, 0, time.Second},
+		{10_000, 500, time.Second},
+		{10_000, 100, 700 * time.Millisecond},
+		{10_000, 5000, 2 * time.Second},
+		{600, 500, 600 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		targets := []document.Target{{Service: "orders", Weight: 1}}
+		h := newHost(Config{})
+		h.SetTable(0, steering.Build(&document.Document{Version: 1, Routes: []document.Route{{Address: testRoute, Timeout: tt.timeout, Aim: tt.aim, Targets: targets}}}, testServers(2)))
+		key, _ := keyOf(netip.MustParseAddrPort("100.64.0.1:1"), testRoute)
+		qt.Check(t, h.requestTimeout(&flow{key: key}), qt.Equals, tt.want, qt.Commentf("timeout %d ms, target %d ms", tt.timeout, tt.aim))
+	}
+}
