Ask for fewer states at once when the links of control hosts are full

Cause: when all hosts start, transfers of the state stall, and each entry host asks the next control host while the stalled one goes on sending, so all states are on the way at once. The pause between states ran from the request, so it was over when a slow state arrived. Change: with FastStart, the pause between states runs from the end of a transfer and is 2 s. After a stall a host waits 300 ms more before it asks another control host, and twice as long for each further stalled transfer.

--- a/internal/fleet/controlhosts.go
+++ b/internal/fleet/controlhosts.go
@@ -11,7 +11,6 @@
 
 // Timeouts and delays of connections to control hosts.
 const (
-	warmSyncPause  = time.Second // longer than control hosts take to find a quorum after a start
 	dialTimeout    = 500 * time.Millisecond
 	redialDelay    = 100 * time.Millisecond // after the first failed attempt, and after a connection ended
 	maxRedialDelay = time.Second
@@ -25,6 +24,16 @@
 	coldFailuresPerDoubling = 3
 )
 
+// Pauses between the states that a host with FastStart loads.
+const (
+	warmSyncPause = 2 * time.Second // longer than control hosts usually need to find a quorum after a start
+	// When all entry hosts start, the links of the control hosts are full, and transfers
+	// make no progress for a while. Each further state that is asked for then delays the
+	// others.
+	coldStallPause    = 300 * time.Millisecond
+	maxStallDoublings = 3
+)
+
 // controlHosts holds the control hosts that this host knows, and the connections
 // to those that it follows. It is safe for concurrent use.
 type controlHosts struct {
@@ -35,17 +44,22 @@
 	follow followFunc
 	wake   chan struct{} // has an element if there may be something to reconcile
 
-	// syncPause is the least time between the states that this host loads while it can
-	// place flows and no control host reaches a quorum, 0 if there is none.
+	// syncPause is the least time from one state that this host loads to the next while it
+	// can place flows and no control host reaches a quorum, 0 if there is none.
 	syncPause time.Duration
 
+	// stallPause is the time after which this host asks another control host for its state
+	// if one transfer has stalled. It doubles with each further one that has stalled. 0 for
+	// no pause.
+	stallPause time.Duration
+
 	mu    sync.Mutex
 	known map[string]*knownHost // by feed address
 	cold  bool                  // whether this host does not know enough to place flows yet
 	// incomplete is whether packets reached this host whose backend servers it does not
 	// know, so that another control host may know more.
 	incomplete bool
-	syncAt     time.Time // when it last asked for a state
+	syncAt     time.Time // when it last asked for a state, or a transfer last made progress
 }
 
 // followFunc opens a connection, as feed.Follow does.
@@ -110,6 +124,9 @@
 			go c.connect(h, timeout, retryDelay)
 		}
 	}
+	if slices.ContainsFunc(c.candidates(), candidate.sending) {
+		c.syncAt = now
+	}
 	if addr := nextSync(c.self.Zone, c.self.Name, c.candidates()); addr != "" && c.mayLoad(now, c.known[addr].current) {
 		c.syncAt = now
 		c.known[addr].conn.Sync()
@@ -122,9 +139,24 @@
 // states would only take the link from callers' packets: each takes 0.3 s of a link of
 // 1.4 Mbit/s with 3,000 backend servers. The caller holds mu.
 func (c *controlHosts) mayLoad(now time.Time, current bool) bool {
+	if stalled := c.stalled(); stalled > 0 && now.Sub(c.syncAt) < c.stallPause<<min(stalled-1, maxStallDoublings) {
+		return false
+	}
 	return c.cold || c.incomplete || current || now.Sub(c.syncAt) >= c.syncPause || !slices.ContainsFunc(c.candidates(), candidate.synced)
 }
 
+// stalled returns the number of control hosts whose transfer of the state has stalled. The
+// caller holds mu.
+func (c *controlHosts) stalled() int {
+	n := 0
+	for _, x := range c.candidates() {
+		if x.sync == feed.Stalled {
+			n++
+		}
+	}
+	return n
+}
+
 // claimSync reports whether a host that was just reached should send its state at
 // once, since no other one is sending.
 func (c *controlHosts) claimSync(h *knownHost) bool {
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -65,7 +65,7 @@
 	}
 	h.controlHosts = newControlHosts(ctx, feed.HostInfo{Name: cfg.Name, Zone: cfg.Zone, Addr: cfg.feedAddr()}, cfg.Via, h)
 	if h.features.FastStart {
-		h.controlHosts.syncPause = warmSyncPause
+		h.controlHosts.syncPause, h.controlHosts.stallPause = warmSyncPause, coldStallPause
 	}
 	h.controlHosts.setSeeds(cfg.seedFeedAddrs())
 	if err := h.start(a); err != nil {
