Tell control hosts that another one has lost its last follower

feed.Update.Followers points to the list. An empty one was a nil slice, which CBOR encodes as null, and a pointer decodes null as nil: no change. The other control hosts went on counting the lost entry hosts as connected, so that they neither replaced an admission that names only these nor left them out of new ones. The list is now never nil. The test failed with one host left in the list before.

--- a/internal/fleet/entryhosts.go
+++ b/internal/fleet/entryhosts.go
@@ -67,11 +67,12 @@
 	return e.revision
 }
 
-// ownList returns the entry hosts that follow this control host.
+// ownList returns the entry hosts that follow this control host. It is never nil:
+// feed.Update.Followers would arrive as if the list had not changed.
 func (e *entryHosts) ownList() []feed.HostInfo {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return slices.Collect(maps.Values(e.own))
+	return slices.AppendSeq(make([]feed.HostInfo, 0, len(e.own)), maps.Values(e.own))
 }
 
 // all returns the entry hosts that follow any known control host, each once, ordered
