Send orders of a host that is not proven current only if they were on its disk

A control host sent its orders about zones as soon as its replica held a document. A host without a disk that joins the log gets the document and the orders one after the other, so it sent an empty or old set meanwhile, with which a starting entry host places flows in an evacuated zone. Whether the set may be sent early is now decided once, from what the disk held at the start. The set is noted before followers can connect, and the proof that the replica is current takes effect in the same critical section as the set, so that an end applied right after the proof still starts its warm-up.

--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -114,6 +114,7 @@
 		h.loadEntriesHint()
 		h.enablePublishing()
 	}
+	h.restoreEvacuations()
 	listener, err := net.Listen("tcp", h.cfg.feedAddr())
 	if err != nil {
 		return listenError("internal", err)
--- a/internal/fleet/controlfeed.go
+++ b/internal/fleet/controlfeed.go
@@ -172,7 +172,7 @@
 			h.log.Event("version", "a new document is in force", eventlog.Fields{"version": d.Version})
 			h.changes.notify()
 		}
-		h.noteEvacuations()
+		h.noteEvacuations(false)
 		select {
 		case <-changed:
 		case <-h.ctx.Done():
--- a/internal/fleet/evacuations.go
+++ b/internal/fleet/evacuations.go
@@ -33,20 +33,20 @@
 	// current is whether the replica was proven current since the start of the host.
 	// Before that its set may lack acknowledged orders.
 	current bool
-	// restored is whether the replica holds a document. If so, its set is sent before it
-	// is proven current, as the document is: after a loss of all power callers would wait
-	// for an election otherwise, and entry hosts get later orders within milliseconds. A
-	// host without a document may have lost its disk, and its set says nothing.
+	// restored is whether the disk of this host held a document at its start. If so, its
+	// set is sent before it is proven current, as the document is: after a loss of all
+	// power callers would wait for an election otherwise, and entry hosts get later orders
+	// within milliseconds. A host without a document may have lost its disk. Its set says
+	// nothing until it is proven current: while it catches up it has old orders only.
 	restored bool
 	set      evacuation.Set
 	ended    map[string]time.Duration // when this host applied the end of each zone's evacuation, since its start
 }
 
 // update records a set of orders. It returns the zones whose evacuation has just ended,
-// and false if the set is the one already held. An
-// end that is found before the replica is current was applied before the start of this
-// host, or while it was down. Its age is then that of the order by the time of day, at
-// least 0. Otherwise the end has just been applied.
+// and false if the set is the one already held. An end that is found before the replica
+// is current was applied before the start of this host, or while it was down. Its age is
+// then that of the order by the time of day, at least 0.
 func (l *orderLog) update(set evacuation.Set, now time.Duration, wall time.Time) (justEnded []string, changed bool) {
 	if set.Revision <= l.set.Revision {
 		return nil, false
@@ -116,11 +116,7 @@
 			return
 		}
 	}
-	h.noteEvacuations()
-	h.mu.Lock()
-	h.orders.current = true
-	h.mu.Unlock()
-	h.changes.notify()
+	h.noteEvacuations(true)
 }
 
 func (h *ControlHost) isCurrent() bool {
@@ -129,25 +125,38 @@
 	return h.host.Current(ctx) == nil
 }
 
-// noteEvacuations makes the orders in the replica available to followers.
-func (h *ControlHost) noteEvacuations() {
+// restoreEvacuations makes the orders that the disk held at the start of this host
+// available to followers. It is called before there are any.
+func (h *ControlHost) restoreEvacuations() {
+	if !h.features.Evacuations {
+		return
+	}
+	restored := h.documentVersion() != 0
+	h.mu.Lock()
+	h.orders.restored = restored
+	h.mu.Unlock()
+	h.noteEvacuations(false)
+}
+
+// noteEvacuations makes the orders in the replica available to followers. proven is
+// whether the replica was proven current before the call.
+func (h *ControlHost) noteEvacuations(proven bool) {
 	if !h.features.Evacuations {
 		return
 	}
-	set := h.evacuations()
 	h.mu.Lock()
-	usable := h.version != 0 && !h.orders.restored
-	h.orders.restored = h.version != 0
+	set := h.evacuations() // under mu, so that an end applied after the proof is noted after it
 	justEnded, changed := h.orders.update(set, h.now(), time.Now())
+	becameCurrent := proven && !h.orders.current
+	h.orders.current = h.orders.current || proven
 	for _, zone := range justEnded {
 		h.admitZone(zone)
 	}
 	h.mu.Unlock()
-	if usable {
-		h.changes.notify()
-	}
 	if changed {
 		logEvacuations(h.log, set, "")
+	}
+	if changed || becameCurrent {
 		h.changes.notify()
 	}
 }
--- a/internal/fleet/evacuations_test.go
+++ b/internal/fleet/evacuations_test.go
@@ -6,7 +6,11 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"greengagequay/internal/document"
 	"greengagequay/internal/evacuation"
+	"greengagequay/internal/feed"
+	"greengagequay/internal/replica"
+	"greengagequay/internal/state"
 )
 
 // Guards against an old end of an evacuation that counts as fresh after a restart, when
@@ -37,3 +41,35 @@
 	l.update(ended(2, wall.Add(time.Hour)), time.Second, wall)
 	c.Assert(l.message(time.Second).Ended["a"], qt.Equals, time.Duration(0), qt.Commentf("the clock of the other host is ahead"))
 }
+
+// Guards against a host without a disk that sends the orders that it has caught up with
+// so far: an entry host would place flows in a zone that was evacuated later.
+func TestBlankHostSendsNoOrdersWhileItCatchesUp(t *testing.T) {
+	c := qt.New(t)
+	entry := feed.HostInfo{Addr: "e1"}
+	start := func(r *replica.Replica) *ControlHost {
+		h := newBenchControl(nil)
+		t.Cleanup(h.cancel)
+		h.features.Evacuations, h.replica = true, r
+		h.restoreEvacuations()
+		return h
+	}
+	r := replica.New()
+	blank := start(r)
+	for i, command := range []state.Command{
+		{Document: &document.Document{Version: 2}}, {Evacuation: &evacuation.Order{Zone: "a", Evacuate: true}},
+	} {
+		data, err := state.Encode(command)
+		c.Assert(err, qt.IsNil)
+		_, err = r.Apply(replica.Entry{Revision: uint64(i + 1), Data: data})
+		c.Assert(err, qt.IsNil)
+		blank.noteEvacuations(false)
+		c.Assert(blank.Position(entry).Evacuations, qt.Equals, uint64(0))
+	}
+	blank.noteEvacuations(true)
+	c.Assert(blank.Position(entry).Evacuations, qt.Equals, uint64(3))
+
+	restored := start(r) // from the same state on disk
+	u, _, _ := restored.Next(feed.Hello{From: entry}, feed.Cursor{})
+	c.Assert(u.Evacuations.Set.Evacuated(), qt.HasLen, 1)
+}
