Send the share of a new backend server with its record

An update holds all records up to now, but shares only if their published position has changed. An update with records now holds the shares up to now. Revisions of shares begin at 1, since a follower with revision 0 gets no full shares and would keep a lower one that it got early.

The test failed with no share before, and fails at its end with revisions from 0.

--- a/internal/fleet/controlfeed.go
+++ b/internal/fleet/controlfeed.go
@@ -73,7 +73,8 @@
 	if after.Started { // a new follower would treat earlier suspects as new
 		u.Suspects = h.suspects.since(after.Suspects)
 	}
-	if next.Levels != after.Levels {
+	if next.Levels != after.Levels || len(u.Records) > 0 && h.features.Pace {
+		h.levelsRevision() // records after the published position come with their shares
 		u.Levels = h.shares.pool.Since(after.Levels)
 	}
 	if next.Plan != after.Plan {
--- a/internal/fleet/publishing_test.go
+++ b/internal/fleet/publishing_test.go
@@ -11,6 +11,7 @@
 
 	"greengagequay/internal/catalog"
 	"greengagequay/internal/feed"
+	"greengagequay/internal/pace"
 )
 
 // Guards against changes that followers learn of only at the next heartbeat, and against
@@ -56,3 +57,43 @@
 		c.Assert(h.Position(control).Followers, qt.Equals, uint64(1))
 	})
 }
+
+// Guards against a new backend server whose record reaches an entry host between two
+// publications, and thus before its share: it would get a full share of new flows. Also
+// against a share that stays low at that entry host.
+func TestRecordBetweenPublicationsComesWithItsShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		h := newBenchControl(nil)
+		defer h.log.Close(time.Second)
+		defer h.cancel()
+		h.features.Pace, h.shares.pool = true, pace.NewPool()
+		announce := func(id string, n byte) {
+			address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, n}), 80)
+			c.Assert(h.Announce(catalog.Heartbeat{ID: id, Service: "orders", Address: address, Born: 1, Sequence: 1}), qt.IsNil)
+		}
+		for n := range byte(4) {
+			announce(fmt.Sprint("old", n), n)
+		}
+		h.enablePublishing()
+		time.Sleep(time.Minute) // the pool takes further ones for new
+		entry := feed.Hello{From: feed.HostInfo{Addr: "e1"}}
+		_, cursor, _ := h.Next(entry, feed.Cursor{})
+		h.changes.notify()
+		announce("new", 9)
+		h.Reported(feed.HostInfo{Addr: "e2"}, feed.Report{Suspects: []feed.Suspect{{ID: "old1"}}})
+		u, cursor, _ := h.Next(entry, cursor)
+		c.Assert(u.Records, qt.HasLen, 1)
+		c.Assert(u.Levels, qt.HasLen, 1)
+		c.Assert(u.Levels[0].Share < pace.FullShare, qt.IsTrue)
+
+		for h.shares.pool.Service("orders").Below > 0 { // rises to full before the next publication
+			h.shares.pool.Tick(h.now())
+			time.Sleep(pace.TickInterval)
+		}
+		h.changes.publish()
+		u, _, _ = h.Next(entry, cursor)
+		c.Assert(u.Levels, qt.HasLen, 1)
+		c.Assert(u.Levels[0].Share, qt.Equals, uint8(pace.FullShare))
+	})
+}
--- a/internal/pace/pool.go
+++ b/internal/pace/pool.go
@@ -110,15 +110,16 @@
 
 // NewPool returns an empty pool.
 func NewPool() *Pool {
-	return &Pool{servers: map[uint32]*server{}, services: map[string]*service{}}
+	return &Pool{servers: map[uint32]*server{}, services: map[string]*service{}, revision: 1}
 }
 
-// Revision returns the revision of the shares. It increases with each change that
-// followers must know.
+// Revision returns the revision of the shares, which is never 0. It increases with each
+// change that followers must know.
 func (p *Pool) Revision() uint64 { return p.revision }
 
-// Since returns the shares that changed after a revision. After revision 0, it returns
-// those below FullShare, since followers assume that share.
+// Since returns the shares that changed after a revision. After revision 0, that of a
+// follower that has no shares, it returns those below FullShare, since followers assume
+// that share.
 func (p *Pool) Since(revision uint64) []Level {
 	var list []Level
 	for _, s := range p.servers {
