Describe when control hosts send their orders, and the limit of invitations

The limit of 64 control hosts counts all known ones, not only those known through invitations; the constant is named for that.

--- a/internal/feed/frame.go
+++ b/internal/feed/frame.go
@@ -97,7 +97,7 @@
 	Records  []catalog.Record   // records of backend servers that changed since the last update
 	Suspects []Suspect          // to entry hosts: suspects that entry hosts reported since the last update
 	// Evacuations is sent to entry hosts in the first update with state, or as soon as the
-	// sender knows that its set is current, and after each order that changed a zone.
+	// sender may send its set, and after each order that changed a zone.
 	Evacuations *Evacuations       `cbor:",omitempty"`
 	Levels      []pace.Level       `cbor:",omitempty"` // to entry hosts: shares of backend servers that changed since the last update
 	Plan        []spread.ZoneShare `cbor:",omitempty"` // to entry hosts: the whole plan, if it changed since the last update
--- a/internal/fleet/invitations.go
+++ b/internal/fleet/invitations.go
@@ -26,9 +26,9 @@
 	maxHostNameBytes   = 64
 	maxZoneNameBytes   = 255
 	maxHostAddrBytes   = 64
-	// maxInvited limits the control hosts that an entry host knows besides seeds and
-	// peers, since anyone in the network can send invitations.
-	maxInvited = 64
+	// maxKnownForInvitation is the number of known control hosts from which on an entry
+	// host adds none through invitations, since anyone in the network can send these.
+	maxKnownForInvitation = 64
 )
 
 // invitationDecoder decodes one flat structure. The library allows no lower limits.
@@ -168,7 +168,7 @@
 func (c *controlHosts) invite(from feed.HostInfo) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.known[from.Addr] == nil && len(c.known) >= maxInvited {
+	if c.known[from.Addr] == nil && len(c.known) >= maxKnownForInvitation {
 		return false
 	}
 	c.recordHost(from, time.Now())
