Build the table at once for the admissions that come with an order

An update with the end of an evacuation holds the admissions for the returning backend servers. The end was in force at once, but on a host with little processor time the table with the admissions followed up to 250 ms later. Until then the host used the admissions of an earlier warm-up, in addition to the hosts that the new ones name; with a bound of 1 that makes 2 flows in a second. The test placed a flow before, and refuses it now.

--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -210,11 +210,13 @@
 		h.levels.receive(addr, u.Levels, h.steerer.SetShare)
 		h.receivePlan(u)
 	}
-	h.receiveEvacuations(addr, u.Evacuations)
+	hasNewOrders := h.receiveEvacuations(addr, u.Evacuations)
 	changed := h.catalog.Merge(h.now(), addr, u.Records)
 	if d := h.receiveDocument(addr, u); d != nil && d.Version > h.steerer.Table().Version {
 		h.buildTable(func(servers []catalog.Record) *steering.Table { return steering.Build(d, servers) })
 		h.log.Event("version", "a new document is in force", eventlog.Fields{"version": d.Version, "from": addr})
+	} else if changed && hasNewOrders {
+		h.buildTable(h.steerer.Table().WithServers) // with the admissions that belong to the end of an evacuation
 	} else if changed {
 		h.updateServers()
 	}
--- a/internal/fleet/evacuations.go
+++ b/internal/fleet/evacuations.go
@@ -249,12 +249,14 @@
 }
 
 // receiveEvacuations puts the orders in an update of a control host in force, unless
-// this host has newer ones. The caller holds mu.
-func (h *EntryHost) receiveEvacuations(addr string, e *feed.Evacuations) {
-	if e != nil && h.features.Evacuations && h.steerer.SetEvacuations(h.now(), e.Set, e.Ended) {
-		logEvacuations(h.log, e.Set, addr)
-		h.checkHeld()
+// this host has newer ones. It reports whether it did so. The caller holds mu.
+func (h *EntryHost) receiveEvacuations(addr string, e *feed.Evacuations) bool {
+	if e == nil || !h.features.Evacuations || !h.steerer.SetEvacuations(h.now(), e.Set, e.Ended) {
+		return false
 	}
+	logEvacuations(h.log, e.Set, addr)
+	h.checkHeld()
+	return true
 }
 
 // registerEvacuations registers the metrics of the feature.
