--- a/internal/fleet/evacuations.go
+++ b/internal/fleet/evacuations.go
@@ -195,9 +195,7 @@
 	if err := h.checkZone(zone); err != nil {
 		return err
 	}
-	select {
-	case <-time.After(callerCheckDelay):
-	case <-ctx.Done():
+	if !staysConnected(ctx) {
 		return fault.New(fault.Unavailable, "send the order again", "the operator disconnected before the order was proposed")
 	}
 	ctx, cancel := h.withTimeout(context.WithoutCancel(ctx), putTimeout)
@@ -211,6 +209,17 @@
 	return err
 }
 
+// staysConnected waits for callerCheckDelay. It returns false if the sender of an order
+// has disconnected by then, which ends ctx.
+func staysConnected(ctx context.Context) bool {
+	select {
+	case <-time.After(callerCheckDelay):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // evacuations returns the orders in the replica.
 func (h *ControlHost) evacuations() evacuation.Set {
 	var set evacuation.Set
--- a/internal/steering/cold.go
+++ b/internal/steering/cold.go
@@ -25,12 +25,12 @@
 	return coldServers{bound: cfg.ColdBound, host: cfg.Host}
 }
 
-// SetWarmupAfter records that the latest evacuation of a zone ended at a time. The backend
-// servers of the zone are cold from then on for the warm-up time of their service,
+// startZoneWarmup records that the latest evacuation of a zone ended at a time. The
+// backend servers of the zone are cold from then on for the warm-up time of their service,
 // whether or not their heartbeats say so.
-func (s *Steerer) SetWarmupAfter(endedAt time.Duration, zone string) {
-	s.cold.ended = slices.DeleteFunc(s.cold.ended, func(e endedEvacuation) bool { return e.zone == zone })
-	s.cold.ended = append(s.cold.ended, endedEvacuation{zone: zone, at: endedAt})
+func (c *coldServers) startZoneWarmup(zone string, endedAt time.Duration) {
+	c.ended = slices.DeleteFunc(c.ended, func(e endedEvacuation) bool { return e.zone == zone })
+	c.ended = append(c.ended, endedEvacuation{zone: zone, at: endedAt})
 }
 
 // contains reports whether a backend server is cold.
--- a/internal/steering/cold_test.go
+++ b/internal/steering/cold_test.go
@@ -174,7 +174,7 @@
 	admitted.Admission = &warmup.Admission{Hosts: []string{"h"}, Each: 1}
 	s := New(Config{Zone: "a", Host: "h", ColdBound: coldBound})
 	s.SetTable(0, Build(coldDocument(), []catalog.Record{admitted, backend("x2", "orders", "a", catalog.Ready)}))
-	s.SetWarmupAfter(time.Second, "a")
+	s.cold.startZoneWarmup("a", time.Second)
 	for at, want := range []string{"forward placed x1", "refuse cold", "forward placed x2"} {
 		qt.Assert(t, describe(s.Decide(time.Duration(1+at)*time.Second, syn(at, orders, 0))), qt.Equals, want)
 	}
--- a/internal/steering/evacuation.go
+++ b/internal/steering/evacuation.go
@@ -42,7 +42,7 @@
 				continue
 			}
 		}
-		s.SetWarmupAfter(next.endedAt[z.Zone], z.Zone)
+		s.cold.startZoneWarmup(z.Zone, next.endedAt[z.Zone])
 	}
 	s.zones = next
 	return true
