Drop an order whose sender has disconnected when the wait ends

After a pause of the host, the end of the wait and the disconnection may both be ready, and select takes any of the two. The order of a sender that has gone elsewhere could then be proposed. The result now depends on the context alone. The test failed before.

--- a/internal/fleet/evacuations.go
+++ b/internal/fleet/evacuations.go
@@ -214,10 +214,9 @@
 func staysConnected(ctx context.Context) bool {
 	select {
 	case <-time.After(callerCheckDelay):
-		return true
 	case <-ctx.Done():
-		return false
 	}
+	return ctx.Err() == nil // not by the case: both may be ready after a pause of this host
 }
 
 // evacuations returns the orders in the replica.
--- a/internal/fleet/evacuations_test.go
+++ b/internal/fleet/evacuations_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -73,3 +74,15 @@
 	u, _, _ := restored.Next(feed.Hello{From: entry}, feed.Cursor{})
 	c.Assert(u.Evacuations.Set.Evacuated(), qt.HasLen, 1)
 }
+
+// endedContext has ended, but its channel is not closed yet.
+type endedContext struct{ context.Context }
+
+func (endedContext) Err() error { return context.Canceled }
+
+// Guards against an order whose sender disconnects at the end of the wait: of two events
+// that are ready, select takes any.
+func TestSenderDisconnectsAtTheEndOfTheWait(t *testing.T) {
+	qt.Assert(t, staysConnected(endedContext{context.Background()}), qt.IsFalse)
+	qt.Assert(t, staysConnected(context.Background()), qt.IsTrue)
+}
