Do not count packets before the first state as a sign of missing servers

A host that has no state yet knows no backend server, so each packet of an open flow was counted as one whose backend server is missing. For up to 1 s after the host could place flows it then loaded the states of all control hosts without the pause between them, which the pause was to prevent after a loss of power. Packets that are released from the queue and whose backend server is still unknown count as before. The test failed before.

--- a/internal/fleet/held.go
+++ b/internal/fleet/held.go
@@ -90,7 +90,7 @@
 // server of a packet. The control host whose state it has may have lost its disk, so it
 // asks another one without delay. The caller holds mu.
 func (h *EntryHost) recordMissing(now time.Duration, d steering.Decision) {
-	if h.held == nil || d.Reason != steering.UnknownToken && d.Reason != steering.NoServer {
+	if h.held == nil || !h.steerer.Ready() || d.Reason != steering.UnknownToken && d.Reason != steering.NoServer {
 		return
 	}
 	if !h.isMissingServers(now) {
