--- a/internal/fleet/publishing.go
+++ b/internal/fleet/publishing.go
@@ -28,10 +28,13 @@
 	h.changes.wake()
 }
 
+// publishesTogether reports whether enablePublishing was called.
+func (h *ControlHost) publishesTogether() bool { return h.changes.publish != nil }
+
 // steeringPosition returns the revision of the catalog up to which entry hosts are told
 // of changes. The caller holds mu.
 func (h *ControlHost) steeringPosition() uint64 {
-	if h.changes.publish == nil {
+	if !h.publishesTogether() {
 		return h.catalog.SteeringRevision()
 	}
 	return h.published
@@ -40,7 +43,7 @@
 // levelsPosition returns the revision of the shares up to which entry hosts are told of
 // changes. The caller holds mu.
 func (h *ControlHost) levelsPosition() uint64 {
-	if h.changes.publish == nil {
+	if !h.publishesTogether() {
 		return h.levelsRevision()
 	}
 	return h.publishedLevels
@@ -49,7 +52,7 @@
 // followersPosition returns the revision of the list of followers up to which control
 // hosts are told of changes. The caller holds mu.
 func (h *ControlHost) followersPosition() uint64 {
-	if h.changes.publish == nil {
+	if !h.publishesTogether() {
 		return h.entryHosts.ownRevision()
 	}
 	return h.publishedFollowers
@@ -60,7 +63,7 @@
 // this happens once a tick: when all entry hosts connect in a second, each connection
 // would else cause a message with all of them to each control host. The caller holds mu.
 func (h *ControlHost) publishFollowers() bool {
-	if h.changes.publish == nil {
+	if !h.publishesTogether() {
 		return false
 	}
 	revision := h.entryHosts.ownRevision()
