Keep the planned shares of several zones that are due with one flow

zoneOf advanced the remainders of all zones and used up each that was due, but a flow goes to one zone only. Zones of equal shares become due with the same flows, so with 0.3 for each of two zones 30 of 100 flows left in place of 60, all to the first zone. A zone that is due and not chosen now stays due for the next flow. TestPlannedSharesOfTwoZones failed before (30 and 0 of 100).

--- a/internal/steering/zoneplan.go
+++ b/internal/steering/zoneplan.go
@@ -27,6 +27,11 @@
 // next reports whether the fraction holds for the next flow.
 func (r *remainder) next() bool {
 	r.sum += r.fraction
+	return r.take()
+}
+
+// take reports whether a flow is due, and counts it as done.
+func (r *remainder) take() bool {
 	if r.sum < 1 {
 		return false
 	}
@@ -69,15 +74,20 @@
 }
 
 // zoneOf returns the zone of the backend servers for the next new flow of a service, or
-// empty for the zone of this host.
+// empty for the zone of this host. Of several zones that are due it returns the one that
+// is due most; the others remain due.
 func (p *zonePlan) zoneOf(service string) string {
-	zone := ""
+	var due *zoneShare
 	for _, x := range p.away[service] {
-		if x.next() && zone == "" {
-			zone = x.zone
+		x.sum += x.fraction
+		if due == nil || x.sum > due.sum {
+			due = x
 		}
 	}
-	return zone
+	if due == nil || !due.take() {
+		return ""
+	}
+	return due.zone
 }
 
 // serversIn returns the backend servers of a service in one zone.
--- a/internal/steering/zoneplan_test.go
+++ b/internal/steering/zoneplan_test.go
@@ -91,3 +91,19 @@
 	zones, _ = placeFlows(s, 100, 100)
 	c.Assert(zones, qt.DeepEquals, map[string]int{"a": 100})
 }
+
+// Guards against shares of two zones that become due with the same flow, of which one was
+// lost: a zone without room then kept half of what was to leave it.
+func TestPlannedSharesOfTwoZones(t *testing.T) {
+	s := newPlanSteerer(t)
+	var records []catalog.Record
+	for n, zone := range []string{"a", "b", "c"} {
+		records = append(records, backend(fmt.Sprint("x", n), "orders", zone, catalog.Ready))
+	}
+	qt.Assert(t, s.SetTable(0, s.Table().WithServers(records)), qt.IsTrue)
+	s.SetPlan([]ZoneShare{{Service: "orders", Zone: "b", Share: 0.3}, {Service: "orders", Zone: "c", Share: 0.3}}, nil)
+	zones, _ := placeFlows(s, 0, 100)
+	for _, zone := range []string{"b", "c"} {
+		qt.Check(t, zones[zone] >= 28 && zones[zone] <= 31, qt.IsTrue, qt.Commentf("%v", zones))
+	}
+}
