Keep the remainders of planned shares and refusals across plans

SetPlan began each remainder at 0. A plan may change every 500 ms, and a host of a large deployment places a few flows in that time, so a fraction that is below one flow per plan never held: with a new plan for every two flows, 0.45 to another zone and 20% refused gave 50 and 0 of 200 flows. A remainder now outlives the plan. A new one begins at random, so that many hosts with few flows send the right sum from the first flow on. TestRemaindersOutliveThePlan failed before.

--- a/internal/steering/zoneplan.go
+++ b/internal/steering/zoneplan.go
@@ -55,15 +55,36 @@
 }
 
 // SetPlan replaces the fractions of new flows that go to other zones or are refused.
+// Remainders are kept: a host with few flows may get new plans faster than one flow of a
+// small fraction becomes due. Those that are new begin at random, so that the first flows
+// of all hosts are not treated alike.
 func (s *Steerer) SetPlan(shares []ZoneShare, refusals []admission.Refusal) {
 	const percent = 100
+	before := s.plan
 	s.plan.away, s.plan.refused = map[string][]*zoneShare{}, map[refusalKey]*remainder{}
 	for _, x := range shares {
-		s.plan.away[x.Service] = append(s.plan.away[x.Service], &zoneShare{x.Zone, remainder{fraction: x.Share}})
+		share := &zoneShare{x.Zone, remainder{x.Share, s.firstSum()}}
+		for _, old := range before.away[x.Service] {
+			if old.zone == x.Zone {
+				share.sum = old.sum
+			}
+		}
+		s.plan.away[x.Service] = append(s.plan.away[x.Service], share)
 	}
 	for _, x := range refusals {
-		s.plan.refused[refusalKey{x.Service, x.Priority}] = &remainder{fraction: float64(x.Percent) / percent}
+		key, refusal := refusalKey{x.Service, x.Priority}, &remainder{float64(x.Percent) / percent, s.firstSum()}
+		if old := before.refused[key]; old != nil {
+			refusal.sum = old.sum
+		}
+		s.plan.refused[key] = refusal
+	}
+}
+
+func (s *Steerer) firstSum() float64 {
+	if s.cfg.Random == nil {
+		return 0
 	}
+	return s.cfg.Random.Float64()
 }
 
 // refuses reports whether the next new flow of a service and priority is refused since
--- a/internal/steering/zoneplan_test.go
+++ b/internal/steering/zoneplan_test.go
@@ -107,3 +107,19 @@
 		qt.Check(t, zones[zone] >= 28 && zones[zone] <= 31, qt.IsTrue, qt.Commentf("%v", zones))
 	}
 }
+
+// Guards against plans that follow each other faster than this host places flows: with
+// remainders that began anew at 0, no flow left the zone and none was refused.
+func TestRemaindersOutliveThePlan(t *testing.T) {
+	s := newPlanSteerer(t)
+	sum := map[string]int{}
+	for n := range 100 {
+		s.SetPlan([]ZoneShare{{Service: "orders", Zone: "b", Share: 0.4 + 0.1*float64(n%2)}}, []admission.Refusal{{Service: "orders", Priority: 1, Percent: 20}})
+		zones, _ := placeFlows(s, 2*n, 2)
+		for name, flows := range zones {
+			sum[name] += flows
+		}
+	}
+	qt.Check(t, sum["overload"] >= 39 && sum["overload"] <= 41, qt.IsTrue, qt.Commentf("%v", sum))
+	qt.Check(t, sum["b"] >= 70 && sum["b"] <= 74, qt.IsTrue, qt.Commentf("%v", sum)) // 0.45 of the other 160
+}
