Ignore late news of an earlier start about suspects

A refusal is known 400 ms after the opening packet and suspects are reported by other hosts, so news of an earlier start may arrive while the present start is a suspect. It replaced that suspicion by one of the earlier start, which no longer counts, and new flows went to the suspect again. TestSuspicionOfEarlierStart failed before.

--- a/internal/steering/requests_test.go
+++ b/internal/steering/requests_test.go
@@ -34,3 +34,14 @@
 	qt.Assert(t, s.Decide(0, syn(1, orders, 0)).Server.ID, qt.Equals, "x2")
 	qt.Assert(t, s.Decide(suspectDuration, syn(2, orders, 0)).Server.ID, qt.Equals, "x1")
 }
+
+// Guards against a late refusal by an earlier start, or a late report about it, that
+// ends the suspicion of the present start.
+func TestSuspicionOfEarlierStart(t *testing.T) {
+	s := newSuspects()
+	s.add(0, "x", 2)
+	s.avoid(0, "x", 1, suspectDuration)
+	s.add(0, "x", 1)
+	later := &Server{Record: catalog.Record{Heartbeat: catalog.Heartbeat{ID: "x", Born: 2}}}
+	qt.Check(t, s.contains(suspectDuration/2, later), qt.IsTrue)
+}
--- a/internal/steering/suspicion.go
+++ b/internal/steering/suspicion.go
@@ -33,20 +33,28 @@
 
 // add records that a backend server left an opening packet unanswered.
 func (s *suspects) add(now time.Duration, id string, born int64) {
-	x := s.get(id, born)
+	x := s.get(now, id, born)
+	if x == nil {
+		return
+	}
 	x.unanswered++
 	x.until = max(x.until, now+min(time.Duration(x.unanswered)*suspectDuration, maxSuspectDuration))
 }
 
 // avoid makes a backend server a suspect for a time.
 func (s *suspects) avoid(now time.Duration, id string, born int64, duration time.Duration) {
-	x := s.get(id, born)
-	x.until = max(x.until, now+duration)
+	if x := s.get(now, id, born); x != nil {
+		x.until = max(x.until, now+duration)
+	}
 }
 
-// get returns the suspicion of a backend server, a new one if there is none.
-func (s *suspects) get(id string, born int64) *suspicion {
+// get returns the suspicion of a backend server, a new one if there is none. It returns
+// nil while a later start is a suspect: late news of an earlier start must not end that.
+func (s *suspects) get(now time.Duration, id string, born int64) *suspicion {
 	x := s.byID[id]
+	if x != nil && x.born > born && now < x.until {
+		return nil
+	}
 	if x == nil || x.born != born {
 		x = &suspicion{born: born}
 		s.byID[id] = x
