Drop the refusals of a service that has no backend servers

The controller was not called for a service without room, and so kept its refusals. Also corrects a comment on the highest class, which is refused once all others are. TestNoRefusalsWithoutRoom failed before (60% remained).

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -50,7 +50,9 @@
 
 // Tick adapts the refusals of a service to its demand, and returns them. slots is the
 // number of slots of all usable backend servers. Nothing is refused while more slots
-// are free than requests are in progress, however slow the answers are.
+// are free than requests are in progress, however slow the answers are, nor without any
+// slots: the flows are refused for that reason then, and refusals from before would
+// meet the first flows after backend servers return.
 func (c *Controller) Tick(service string, classes []Class, slots float64) []Refusal {
 	classes = slices.Clone(classes)
 	slices.SortFunc(classes, func(a, b Class) int { return cmp.Compare(b.Priority, a.Priority) })
@@ -60,6 +62,8 @@
 		pressure = max(pressure, x.Pressure)
 	}
 	switch {
+	case slots <= 0:
+		delete(c.refused, service)
 	case busy > slots && pressure > 1:
 		c.raise(service, classes)
 	case busy < ampleRoom*slots:
@@ -71,7 +75,7 @@
 }
 
 // raise refuses more of the lowest class that is not refused as far as possible. The
-// highest class alone is never refused for others.
+// highest class is refused too once all others are: then it exceeds the slots alone.
 func (c *Controller) raise(service string, classes []Class) {
 	list := c.refused[service]
 	for _, x := range classes {
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -82,3 +82,15 @@
 	}
 	qt.Assert(t, c.Tick("s", low, 60), qt.HasLen, 0)
 }
+
+// Guards against refusals from before all backend servers of a service were lost, which
+// would refuse most flows when they return.
+func TestNoRefusalsWithoutRoom(t *testing.T) {
+	c := NewController()
+	classes := []Class{{Service: "s", Priority: 1, Busy: 200, Pressure: 2}}
+	for range 5 {
+		c.Tick("s", classes, 80)
+	}
+	qt.Assert(t, c.Tick("s", classes, 0), qt.HasLen, 0)
+	qt.Assert(t, c.Tick("s", nil, 80), qt.HasLen, 0)
+}
--- a/internal/fleet/zoneplan.go
+++ b/internal/fleet/zoneplan.go
@@ -162,8 +162,12 @@
 		c.Service, c.Priority, c.Busy = d.Service, d.Priority, c.Busy+d.Busy
 		classes[d.Service][d.Priority] = c
 	}
+	services := maps.Clone(slots) // and those that have demand only
+	for service := range classes {
+		services[service] += 0
+	}
 	var all []admission.Refusal
-	for _, service := range slices.Sorted(maps.Keys(slots)) {
+	for _, service := range slices.Sorted(maps.Keys(services)) {
 		all = append(all, z.controller.Tick(service, slices.Collect(maps.Values(classes[service])), slots[service])...)
 	}
 	return all
