Separate a control host's planning from its clock and lock

addReport, tick and roomsOf take what they decide on as arguments, so that the planning of several control hosts runs in tests without a network. No change of behaviour.

--- a/internal/fleet/shares.go
+++ b/internal/fleet/shares.go
@@ -47,7 +47,7 @@
 		return
 	}
 	h.shares.pool.Add(h.now(), follower.Zone, r.Samples)
-	h.addDemand(follower, r)
+	h.zones.addReport(follower.Zone, r, h.shares.pool, h.cold.document)
 	h.metrics.Counter("pace.samples").Inc(int64(len(r.Samples)))
 	h.metrics.Counter("pace.unsampled").Inc(int64(r.Unsampled))
 }
--- a/internal/fleet/zoneplan.go
+++ b/internal/fleet/zoneplan.go
@@ -49,19 +49,18 @@
 	return zonePlanner{planner: spread.NewPlanner(), controller: admission.NewController(), own: map[demandKey]*answerSum{}}
 }
 
-// addDemand adds the answers in a report of an entry host. Answers that the report
-// leaves out count like the mean of the others. The caller holds mu.
-func (h *ControlHost) addDemand(follower feed.HostInfo, r feed.Report) {
-	z := &h.zones
-	z.indexRoutes(h.cold.document)
+// addReport adds the answers in a report of an entry host in a zone. Answers that the
+// report leaves out count like the mean of the others.
+func (z *zonePlanner) addReport(zone string, r feed.Report, pool *pace.Pool, d *document.Document) {
+	z.indexRoutes(d)
 	scale := 1 + float64(r.Unsampled)/float64(len(r.Samples))
 	for _, x := range r.Samples {
-		server, known := h.shares.pool.Find(x.Token)
+		server, known := pool.Find(x.Token)
 		route := z.routes[x.Route]
 		if x.Kind != pace.Answered || !known || route == nil {
 			continue
 		}
-		key := demandKey{server.Service, follower.Zone, route.Priority}
+		key := demandKey{server.Service, zone, route.Priority}
 		sum := z.own[key]
 		if sum == nil {
 			sum = &answerSum{}
@@ -100,40 +99,51 @@
 	return list
 }
 
-// tickZones updates the demand and the plan. It reports whether followers must be told.
-// It is called with each tick of the shares; the caller holds mu.
-func (h *ControlHost) tickZones() bool {
-	z, now := &h.zones, h.now()
+// tick updates the demand and the plan. It reports whether other control hosts must be
+// told of the demand, and entry hosts of the plan. self is the address of this host.
+func (z *zonePlanner) tick(now time.Duration, self string, rooms []spread.Room) (demandChanged, planChanged bool) {
 	hadDemand := len(z.demands) > 0
 	z.demands = z.takeDemands(now)
-	changed := hadDemand || len(z.demands) > 0
-	if changed {
+	if demandChanged = hadDemand || len(z.demands) > 0; demandChanged {
 		z.demandsRevision++
 	}
-	z.planner.Receive(now, h.info.Addr, z.demands)
-	rooms := h.rooms()
+	z.planner.Receive(now, self, z.demands)
 	plan, planChanged := z.planner.Tick(now, rooms)
 	refusals := z.refuse(rooms)
-	if planChanged || !slices.Equal(refusals, z.refusals) {
+	if planChanged = planChanged || !slices.Equal(refusals, z.refusals); planChanged {
 		z.plan, z.refusals = plan, refusals
 		z.planRevision++
-		changed = true
+	}
+	return demandChanged, planChanged
+}
+
+// tickZones updates the demand and the plan. It reports whether followers must be told.
+// It is called with each tick of the shares; the caller holds mu.
+func (h *ControlHost) tickZones() bool {
+	demandChanged, planChanged := h.zones.tick(h.now(), h.info.Addr, h.rooms())
+	if planChanged {
 		h.logPlan()
 	}
-	return changed
+	return demandChanged || planChanged
 }
 
-// rooms returns the room of each service in each zone that is not evacuated. Silent
-// backend servers have none.
+// rooms returns the room of each service in each zone that is not evacuated. The caller
+// holds mu.
 func (h *ControlHost) rooms() []spread.Room {
 	evacuated := map[string]bool{}
 	for _, zone := range h.orders.set.Evacuated() {
 		evacuated[zone.Zone] = true
 	}
+	return roomsOf(h.shares.pool, func(s pace.Server) bool { return !evacuated[s.Zone] })
+}
+
+// roomsOf returns the room of the usable backend servers of each service in each zone.
+// Silent ones have none.
+func roomsOf(pool *pace.Pool, isUsable func(pace.Server) bool) []spread.Room {
 	type key struct{ service, zone string }
 	slots := map[key]float64{}
-	h.shares.pool.Each(func(s pace.Server, share uint8) {
-		if !s.Silent && !evacuated[s.Zone] {
+	pool.Each(func(s pace.Server, share uint8) {
+		if !s.Silent && isUsable(s) {
 			slots[key{s.Service, s.Zone}] += float64(s.Slots) * float64(share) / pace.FullShare
 		}
 	})
