Count the demand of answers that a report with failures leaves out

A report holds at most 32 samples, failures first. The number of outcomes left out was shared among failures and answers, although all of them are answers: with 30 failures and 120 answers the demand was 1.9 requests in progress in place of 24, so a zone with failing backend servers seemed idle. TestFailuresDoNotHideDemand failed before.

--- a/internal/fleet/zoneplan.go
+++ b/internal/fleet/zoneplan.go
@@ -49,11 +49,17 @@
 	return zonePlanner{planner: spread.NewPlanner(), controller: admission.NewController(), own: map[demandKey]*answerSum{}}
 }
 
-// addReport adds the answers in a report of an entry host in a zone. Answers that the
-// report leaves out count like the mean of the others.
+// addReport adds the answers in a report of an entry host in a zone. Those that
+// the report leaves out count like the mean of the others: all failures are in the samples if any answer is.
 func (z *zonePlanner) addReport(zone string, r feed.Report, pool *pace.Pool, d *document.Document) {
 	z.indexRoutes(d)
-	scale := 1 + float64(r.Unsampled)/float64(len(r.Samples))
+	answers := 0
+	for _, x := range r.Samples {
+		if x.Kind == pace.Answered {
+			answers++
+		}
+	}
+	scale := 1 + float64(r.Unsampled)/float64(max(answers, 1))
 	for _, x := range r.Samples {
 		server, known := pool.Find(x.Token)
 		route := z.routes[x.Route]
--- a/internal/fleet/zoneplan_test.go
+++ b/internal/fleet/zoneplan_test.go
@@ -115,3 +115,14 @@
 		c.Check(len(h.plan)+len(h.refusals)+len(h.planner.Demands()), qt.Equals, 0, qt.Commentf("no reports"))
 	}
 }
+
+// Guards against failures, which are sampled first, that make the demand look smaller.
+func TestFailuresDoNotHideDemand(t *testing.T) {
+	h := newPlanHost()
+	r := answers(30)
+	for n := range r.Samples[:30] {
+		r.Samples[n].Kind = pace.Unanswered
+	}
+	h.report("a", r)
+	qt.Assert(t, h.takeDemands(500 * time.Millisecond)[0].Busy, qt.Equals, 24.0) // 120 answers of 100 ms
+}
