Count the demand of an entry host at one control host only

An entry host reports to all control hosts that it follows: two while the preferred one has no quorum, all while none has one. Control hosts exchange and sum up demand, so that of such an entry host counted several times: with 30 requests in progress, 60 slots at home and two control hosts, a quarter of the flows left the zone. The entry host now marks its reports to all but one, a host with a quorum if there is any. TestDemandOfReportToTwoControlHostsCountsOnce failed before.

--- a/internal/feed/frame.go
+++ b/internal/feed/frame.go
@@ -63,8 +63,12 @@
 	Suspects []Suspect
 	Sync     bool          // asks for the state that Hello.Deferred deferred
 	Samples  []pace.Sample `cbor:",omitempty"` // answers of backend servers since the last report
-	// Unsampled is the number of answers that Samples leaves out.
+	// Unsampled is the number of outcomes that Samples leaves out. Failures come first, so
+	// these are answers if Samples holds any answer.
 	Unsampled int `cbor:",omitempty"`
+	// DemandElsewhere is set if the follower follows several control hosts, and another one
+	// counts the demand that the samples show.
+	DemandElsewhere bool `cbor:",omitempty"`
 }
 
 // isHeartbeat reports whether the report only shows that the follower is alive.
--- a/internal/fleet/controlhosts.go
+++ b/internal/fleet/controlhosts.go
@@ -192,17 +192,25 @@
 	return list
 }
 
-// sendReport sends a report to all connected hosts.
+// sendReport sends a report to all connected hosts. One of them counts the demand that
+// the samples show, since control hosts exchange and sum up demand.
 func (c *controlHosts) sendReport(r feed.Report) {
 	c.mu.Lock()
 	var connections []*feed.Connection
+	counting := demandCounter(c.self.Zone, c.self.Name, c.candidates())
+	var countingConnection *feed.Connection
 	for _, h := range c.known {
-		if h.conn != nil {
-			connections = append(connections, h.conn)
+		if h.conn == nil {
+			continue
+		}
+		connections = append(connections, h.conn)
+		if h.addr == counting {
+			countingConnection = h.conn
 		}
 	}
 	c.mu.Unlock()
 	for _, conn := range connections {
+		r.DemandElsewhere = len(r.Samples) > 0 && conn != countingConnection
 		go conn.Report(r)
 	}
 }
--- a/internal/fleet/selecthosts.go
+++ b/internal/fleet/selecthosts.go
@@ -56,6 +56,19 @@
 	return selected
 }
 
+// demandCounter returns the address of the connected host that counts the demand of this
+// entry host, or "" if none is connected. Hosts that reach a quorum come first, since
+// others may not be able to exchange demand.
+func demandCounter(zone, self string, hosts []candidate) string {
+	counter := candidate{}
+	for _, c := range hosts {
+		if c.connected && (counter.addr == "" || syncsBefore(zone, self, c, counter)) {
+			counter = c
+		}
+	}
+	return counter.addr
+}
+
 // nextSync returns the address of the host that should send its state next, or ""
 // if none should now. On a slow link the states of several hosts would delay each
 // other, so a host is only asked once no other one is sending.
--- a/internal/fleet/selecthosts_test.go
+++ b/internal/fleet/selecthosts_test.go
@@ -80,3 +80,14 @@
 		})
 	}
 }
+
+// Guards against demand that no followed control host counts, and that only one without a
+// quorum counts.
+func TestDemandCounter(t *testing.T) {
+	own, x := candidate{addr: "own", zone: "a", connected: true}, candidate{addr: "x", zone: "b", connected: true}
+	qt.Check(t, demandCounter("a", "e1", []candidate{x, own}), qt.Equals, "own")
+	x.current = true
+	qt.Check(t, demandCounter("a", "e1", []candidate{own, x}), qt.Equals, "x")
+	x.connected = false
+	qt.Check(t, demandCounter("a", "e1", []candidate{own, x}), qt.Equals, "own")
+}
--- a/internal/fleet/zoneplan.go
+++ b/internal/fleet/zoneplan.go
@@ -49,9 +49,13 @@
 	return zonePlanner{planner: spread.NewPlanner(), controller: admission.NewController(), own: map[demandKey]*answerSum{}}
 }
 
-// addReport adds the answers in a report of an entry host in a zone. Those that
-// the report leaves out count like the mean of the others: all failures are in the samples if any answer is.
+// addReport adds the answers in a report of an entry host in a zone, unless another
+// control host counts them. Those that the report leaves out count like the mean of the
+// others: all failures are in the samples if any answer is.
 func (z *zonePlanner) addReport(zone string, r feed.Report, pool *pace.Pool, d *document.Document) {
+	if r.DemandElsewhere {
+		return
+	}
 	z.indexRoutes(d)
 	answers := 0
 	for _, x := range r.Samples {
--- a/internal/fleet/zoneplan_test.go
+++ b/internal/fleet/zoneplan_test.go
@@ -116,6 +116,22 @@
 	}
 }
 
+// Guards against demand that is counted once for each control host that an entry host
+// follows: without a quorum it follows all of them.
+func TestDemandOfReportToTwoControlHostsCountsOnce(t *testing.T) {
+	hosts := [2]*planHost{newPlanHost(), newPlanHost()}
+	play(0, 10*time.Second, hosts, true, func() {
+		r := answers(30)
+		for _, h := range hosts {
+			h.report("a", r)
+			r.DemandElsewhere = true
+		}
+	})
+	for _, h := range hosts {
+		qt.Check(t, h.plan, qt.HasLen, 0) // the limit of zone a is 42
+	}
+}
+
 // Guards against failures, which are sampled first, that make the demand look smaller.
 func TestFailuresDoNotHideDemand(t *testing.T) {
 	h := newPlanHost()
