Keep one plan for each followed control host at an entry host

An entry host kept the last plan that it received. A control host that had just started, or was cut off from the others, put a plan for a part of the demand in force.

The entry host now prefers the plan of control hosts with a quorum and drops that of one that disconnected; without any it refuses nothing. A control host sends its first plan 3 s after its start, also if it is empty.

--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -49,6 +49,7 @@
 	catalog      *catalog.Catalog
 	documents    map[string]*document.Document // the last document of each followed control host, by its address
 	levels       shareLevels
+	plans        zonePlans
 	lastUpdateAt time.Duration // when the last update arrived from a control host that has sent its state
 	leaving      bool
 	pacer        rebuildPacer
@@ -188,6 +189,9 @@
 	if !connected {
 		delete(h.documents, addr)
 		h.levels.drop(addr, h.steerer.SetShare)
+		if h.plans.drop(addr) {
+			h.applyPlan()
+		}
 	}
 	h.mu.Unlock()
 	h.log.Event("peer", "a followed control host connected or disconnected", eventlog.Fields{"address": addr, "connected": connected})
@@ -208,7 +212,9 @@
 	}
 	if h.features.Pace {
 		h.levels.receive(addr, u.Levels, h.steerer.SetShare)
-		h.receivePlan(u)
+		if h.plans.receive(addr, h.cfg.Zone, u) {
+			h.applyPlan()
+		}
 	}
 	h.receiveEvacuations(addr, u.Evacuations)
 	changed := h.catalog.Merge(h.now(), addr, u.Records)
--- a/internal/fleet/zoneplan.go
+++ b/internal/fleet/zoneplan.go
@@ -13,9 +13,12 @@
 	"greengagequay/internal/feed"
 	"greengagequay/internal/pace"
 	"greengagequay/internal/spread"
-	"greengagequay/internal/steering"
 )
 
+// firstPlanDelay is the time from the first tick of a control host to its first plan and
+// refusals. Within it followers connect, and the other control hosts send their demand.
+const firstPlanDelay = 3 * time.Second
+
 // zonePlanner is a control host's view of the load of services in each zone. The holder
 // of ControlHost.mu uses it.
 type zonePlanner struct {
@@ -23,6 +26,8 @@
 	controller *admission.Controller
 	own        map[demandKey]*answerSum // answers that followers reported since ownSince
 	ownSince   time.Duration
+	startedAt  time.Duration // time of the first tick, if started is set
+	started    bool
 	routes     map[uint32]*document.Route // by hash of the address
 	document   *document.Document         // to which routes belongs
 
@@ -112,6 +117,9 @@
 // tick updates the demand and the plan. It reports whether other control hosts must be
 // told of the demand, and entry hosts of the plan. self is the address of this host.
 func (z *zonePlanner) tick(now time.Duration, self string, rooms []spread.Room) (demandChanged, planChanged bool) {
+	if !z.started {
+		z.started, z.startedAt = true, now
+	}
 	hadDemand := len(z.demands) > 0
 	z.demands = z.takeDemands(now)
 	if demandChanged = hadDemand || len(z.demands) > 0; demandChanged {
@@ -119,8 +127,13 @@
 	}
 	z.planner.Receive(now, self, z.demands)
 	plan, planChanged := z.planner.Tick(now, rooms)
+	if now-z.startedAt < firstPlanDelay {
+		return demandChanged, false
+	}
 	refusals := z.refuse(rooms)
-	if planChanged = planChanged || !slices.Equal(refusals, z.refusals); planChanged {
+	// The first plan is sent even if it is empty: it replaces that of a control host that
+	// is gone.
+	if planChanged = planChanged || z.planRevision == 0 || !slices.Equal(refusals, z.refusals); planChanged {
 		z.plan, z.refusals = plan, refusals
 		z.planRevision++
 	}
@@ -227,19 +240,3 @@
 	}
 	return names
 }
-
-// receivePlan puts the plan in an update of a control host in force for the zone of this
-// host. Control hosts plan with nearly the same figures, so the latest plan of any of
-// them holds. The caller holds mu.
-func (h *EntryHost) receivePlan(u feed.Update) {
-	if !u.HasPlan {
-		return
-	}
-	var shares []steering.ZoneShare
-	for _, s := range u.Plan {
-		if s.From == h.cfg.Zone {
-			shares = append(shares, steering.ZoneShare{Service: s.Service, Zone: s.To, Share: s.Share})
-		}
-	}
-	h.steerer.SetPlan(shares, u.Refusals)
-}
--- a/internal/fleet/zoneplan_test.go
+++ b/internal/fleet/zoneplan_test.go
@@ -1,15 +1,21 @@
 package fleet
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"net/netip"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"greengagequay/internal/admission"
+	"greengagequay/internal/catalog"
 	"greengagequay/internal/document"
+	"greengagequay/internal/eventlog"
 	"greengagequay/internal/feed"
+	"greengagequay/internal/metrics"
 	"greengagequay/internal/pace"
 	"greengagequay/internal/spread"
 	"greengagequay/internal/steering"
@@ -142,3 +148,73 @@
 	h.report("a", r)
 	qt.Assert(t, h.takeDemands(500 * time.Millisecond)[0].Busy, qt.Equals, 24.0) // 120 answers of 100 ms
 }
+
+// Guards against refusals of a control host that is gone, against the plan of one without
+// a quorum, which may see only a part of the demand, and against refusals without a control
+// host that could withdraw them.
+func TestPlanInForce(t *testing.T) {
+	c := qt.New(t)
+	p := zonePlans{}
+	plan := func(share float64, percent int, current bool) feed.Update {
+		u := feed.Update{HasPlan: true, Current: current, Plan: []spread.ZoneShare{{Service: "s", From: "a", To: "b", Share: share}}}
+		if percent > 0 {
+			u.Refusals = []admission.Refusal{{Service: "s", Priority: 1, Percent: percent}}
+		}
+		return u
+	}
+	check := func(changed bool, share float64, refusals int, comment string) {
+		c.Helper()
+		c.Check(changed, qt.IsTrue, qt.Commentf(comment))
+		c.Check(p.inForce.shares[0].Share, qt.Equals, share, qt.Commentf(comment))
+		c.Check(p.inForce.refusals, qt.HasLen, refusals, qt.Commentf(comment))
+	}
+	check(p.receive("c1", "a", plan(0.1, 0, true)), 0.1, 0, "first")
+	check(p.receive("c2", "a", plan(0.2, 90, true)), 0.2, 1, "latest")
+	check(p.drop("c2"), 0.1, 0, "its control host disconnected")
+	check(p.receive("c2", "a", plan(0.2, 90, true)), 0.2, 1, "connected again")
+	check(p.receive("c2", "a", feed.Update{Current: false}), 0.1, 0, "lost its quorum")
+	c.Check(p.receive("c2", "a", plan(0.3, 90, false)), qt.IsFalse)
+	c.Check(p.receive("c1", "a", feed.Update{Current: true}), qt.IsFalse)
+	check(p.drop("c1"), 0.3, 1, "the only one left")
+	check(p.drop("c2"), 0.3, 0, "no control host")
+}
+
+// Guards against a control host that just started and sends a plan for a part of the
+// demand, and against one that never sends an empty plan, so that an entry host keeps the
+// plan of another one that is gone.
+func TestFirstPlan(t *testing.T) {
+	h := newPlanHost()
+	play(0, firstPlanDelay, [2]*planHost{h, newPlanHost()}, false, func() { h.report("a", answers(60)) })
+	qt.Check(t, h.planRevision, qt.Equals, uint64(0))
+	idle := newPlanHost()
+	play(0, firstPlanDelay+time.Second, [2]*planHost{h, idle}, false, func() { h.report("a", answers(60)) })
+	qt.Check(t, h.plan, qt.HasLen, 1)
+	qt.Check(t, idle.planRevision, qt.Equals, uint64(1))
+}
+
+// Guards against refusals that an entry host keeps after their control host disconnected.
+func TestRefusalsEndWithTheirControlHost(t *testing.T) {
+	log := eventlog.New(io.Discard, "e1", time.Now)
+	defer log.Close(time.Second)
+	h := &EntryHost{
+		cfg: Config{Zone: "a"}, features: Features{Pace: true}, log: log, metrics: metrics.New(), started: time.Now(),
+		catalog: catalog.New(catalog.Config{Interval: time.Second}), documents: map[string]*document.Document{}, levels: shareLevels{},
+		steerer: steering.New(steering.Config{Zone: "a", Shares: true, Random: newRandom()}),
+	}
+	h.controlHosts = newControlHosts(context.Background(), feed.HostInfo{Addr: "e1"}, nil, h)
+	h.documents["c1"] = &document.Document{Version: 1, Routes: []document.Route{{Address: planRoute, Targets: []document.Target{{Service: "s", Weight: 1}}, Priority: 1}}}
+	h.steerer.SetTable(0, steering.Build(h.documents["c1"], []catalog.Record{{Heartbeat: catalog.Heartbeat{ID: "x0", Service: "s", Zone: "a", Born: 1}}}))
+	refused := func() (n int) {
+		for port := range uint16(20) {
+			caller := netip.AddrPortFrom(netip.MustParseAddr("10.2.0.1"), 1000+port)
+			if h.steerer.Decide(0, steering.Packet{Opening: true, Caller: caller, Route: planRoute}).Reason == steering.Overload {
+				n++
+			}
+		}
+		return n
+	}
+	h.Updated("c1", feed.Update{Current: true, HasPlan: true, Refusals: []admission.Refusal{{Service: "s", Priority: 1, Percent: 90}}})
+	qt.Check(t, refused() > 15, qt.IsTrue)
+	h.ConnectionChanged("c1", false)
+	qt.Check(t, refused(), qt.Equals, 0)
+}
