Count no room for backend servers that are cold

After an evacuation all of a zone are cold, take 5 flows a second each at most, and the plan kept the zone's flows there. TestColdServersHaveNoRoom failed before.

--- a/internal/catalog/query.go
+++ b/internal/catalog/query.go
@@ -1,5 +1,7 @@
 package catalog
 
+import "time"
+
 // Service returns the service of a backend server, and whether the catalog has a record
 // of it.
 func (c *Catalog) Service(id string) (service string, known bool) {
@@ -43,3 +45,10 @@
 	}
 	return false
 }
+
+// IsCold reports whether a backend server is cold, by its own report or since the
+// evacuation of its zone ended.
+func (c *Catalog) IsCold(now time.Duration, id string) bool {
+	e := c.entries[id]
+	return e != nil && now < e.coldUntil()
+}
--- a/internal/fleet/zoneplan.go
+++ b/internal/fleet/zoneplan.go
@@ -150,14 +150,17 @@
 	return demandChanged || planChanged
 }
 
-// rooms returns the room of each service in each zone that is not evacuated. The caller
-// holds mu.
+// rooms returns the room of each service in each zone that is not evacuated. Backend
+// servers that are cold by the bound for them have none. The caller holds mu.
 func (h *ControlHost) rooms() []spread.Room {
 	evacuated := map[string]bool{}
 	for _, zone := range h.orders.set.Evacuated() {
 		evacuated[zone.Zone] = true
 	}
-	return roomsOf(h.shares.pool, func(s pace.Server) bool { return !evacuated[s.Zone] })
+	now, bounded := h.now(), h.cold.isBounded()
+	return roomsOf(h.shares.pool, func(s pace.Server) bool {
+		return !evacuated[s.Zone] && !(bounded && h.catalog.IsCold(now, s.ID))
+	})
 }
 
 // roomsOf returns the room of the usable backend servers of each service in each zone.
--- a/internal/fleet/zoneplan_test.go
+++ b/internal/fleet/zoneplan_test.go
@@ -19,6 +19,7 @@
 	"greengagequay/internal/pace"
 	"greengagequay/internal/spread"
 	"greengagequay/internal/steering"
+	"greengagequay/internal/warmup"
 )
 
 var planRoute = netip.MustParseAddrPort("10.1.0.1:80")
@@ -218,3 +219,20 @@
 	h.ConnectionChanged("c1", false)
 	qt.Check(t, refused(), qt.Equals, 0)
 }
+
+// Guards against room of cold backend servers, which get a few flows a second only.
+func TestColdServersHaveNoRoom(t *testing.T) {
+	h := &ControlHost{
+		features: Features{Pace: true}, started: time.Now(), metrics: metrics.New(), shares: sharePool{pool: pace.NewPool()},
+		catalog: catalog.New(catalog.Config{Self: "c1", Interval: time.Second, ColdBound: true}),
+		cold:    coldServices{bound: warmup.Bound{Slack: 5}, document: &document.Document{}},
+	}
+	for n, left := range []time.Duration{0, time.Minute} {
+		address := netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(1+n))
+		h.catalog.ReceiveHeartbeat(h.now(), catalog.Heartbeat{ID: fmt.Sprint("x", n), Service: "s", Zone: "a", Born: 5, Slots: 10, Address: address, WarmLeft: left})
+	}
+	h.levelsRevision()
+	qt.Check(t, h.rooms(), qt.DeepEquals, []spread.Room{{Service: "s", Zone: "a", Slots: 10}})
+	h.catalog.StartZoneWarmup(h.now(), "a", func(string) time.Duration { return time.Minute })
+	qt.Check(t, h.rooms(), qt.HasLen, 0)
+}
