Keep the gauges of the plan in step with it

A gauge was updated only while its service and priority had demand. It kept its last value when demand and refusals ended together, and a refusal without demand did not show. TestPlanGaugesBecomeZero failed before.

--- a/internal/fleet/zoneplan.go
+++ b/internal/fleet/zoneplan.go
@@ -36,6 +36,7 @@
 	plan            []spread.ZoneShare
 	refusals        []admission.Refusal
 	planRevision    uint64
+	gauges          map[string]int64 // values of the plan's gauges that are not 0
 }
 
 type demandKey struct {
@@ -211,35 +212,32 @@
 
 // logPlan logs the plan and the refusals in force and updates their metrics.
 func (h *ControlHost) logPlan() {
+	z := &h.zones
 	away := map[string]float64{}
-	for _, s := range h.zones.plan {
+	for _, s := range z.plan {
 		away[s.Service+"."+s.From] += s.Share
 	}
-	for name := range h.zones.planGauges(away) {
-		h.metrics.Gauge("spread.away_percent." + name).Update(int64(math.Round(100 * away[name])))
-	}
 	refused := map[string]int{}
-	for _, r := range h.zones.refusals {
+	for _, r := range z.refusals {
 		refused[fmt.Sprintf("%s.%d", r.Service, r.Priority)] = r.Percent
 	}
-	for _, d := range h.zones.planner.Demands() {
-		name := fmt.Sprintf("%s.%d", d.Service, d.Priority)
-		h.metrics.Gauge("admission.refused_percent." + name).Update(int64(refused[name]))
+	gauges := map[string]int64{}
+	for name, share := range away {
+		gauges["spread.away_percent."+name] = int64(math.Round(100 * share))
 	}
-	if h.log.Allow("plan") {
-		h.log.Write("plan", "changed the fractions of new flows that leave their zone or are refused", eventlog.Fields{"away": away, "refused_percent": refused})
+	for name, percent := range refused {
+		gauges["admission.refused_percent."+name] = int64(percent)
 	}
-}
-
-// planGauges returns the names of all gauges that the plan has or had, so that those
-// that it no longer has become 0.
-func (z *zonePlanner) planGauges(away map[string]float64) map[string]bool {
-	names := map[string]bool{}
-	for name := range away {
-		names[name] = true
+	for name := range z.gauges {
+		if _, ok := gauges[name]; !ok {
+			h.metrics.Gauge(name).Update(0)
+		}
 	}
-	for _, d := range z.planner.Demands() {
-		names[d.Service+"."+d.Zone] = true
+	for name, value := range gauges {
+		h.metrics.Gauge(name).Update(value)
+	}
+	z.gauges = gauges
+	if h.log.Allow("plan") {
+		h.log.Write("plan", "changed the fractions of new flows that leave their zone or are refused", eventlog.Fields{"away": away, "refused_percent": refused})
 	}
-	return names
 }
--- a/internal/fleet/zoneplan_test.go
+++ b/internal/fleet/zoneplan_test.go
@@ -236,3 +236,19 @@
 	h.catalog.StartZoneWarmup(h.now(), "a", func(string) time.Duration { return time.Minute })
 	qt.Check(t, h.rooms(), qt.HasLen, 0)
 }
+
+// Guards against gauges that keep a value after the plan and the demand are gone.
+func TestPlanGaugesBecomeZero(t *testing.T) {
+	log := eventlog.New(io.Discard, "c1", time.Now)
+	defer log.Close(time.Second)
+	h := &ControlHost{log: log, metrics: metrics.New(), zones: newZonePlanner()}
+	h.zones.plan = []spread.ZoneShare{{Service: "s", From: "a", To: "b", Share: 0.5}}
+	h.zones.refusals = []admission.Refusal{{Service: "s", Priority: 1, Percent: 20}}
+	h.logPlan()
+	qt.Check(t, h.metrics.Gauge("spread.away_percent.s.a").Value(), qt.Equals, int64(50))
+	qt.Check(t, h.metrics.Gauge("admission.refused_percent.s.1").Value(), qt.Equals, int64(20))
+	h.zones.plan, h.zones.refusals = nil, nil
+	h.logPlan()
+	qt.Check(t, h.metrics.Gauge("spread.away_percent.s.a").Value(), qt.Equals, int64(0))
+	qt.Check(t, h.metrics.Gauge("admission.refused_percent.s.1").Value(), qt.Equals, int64(0))
+}
