--- a/internal/fleet/publishing_test.go
+++ b/internal/fleet/publishing_test.go
@@ -87,7 +87,7 @@
 		c.Assert(u.Levels, qt.HasLen, 1)
 		c.Assert(u.Levels[0].Share < pace.FullShare, qt.IsTrue)
 
-		for h.shares.pool.Service("orders").Below > 0 { // rises to full before the next publication
+		for h.shares.pool.Service("orders").Below > 0 { // rises to full before the follower's next update
 			h.shares.pool.Tick(h.now())
 			time.Sleep(pace.TickInterval)
 		}
