Let a later owner of a backend server continue the generations of admissions

A control host that starts more than 60 s after a warm-up got the record of the backend server without its admission. As the owner it made the next one with generation 1. Entry hosts that know a higher generation kept the hosts of the earlier warm-up, which may be gone; others used the new ones, and a replacement with a third set could follow, so that up to three halves of the bound were in force. What entry hosts get is unchanged.

--- a/internal/catalog/admission.go
+++ b/internal/catalog/admission.go
@@ -73,7 +73,7 @@
 	switch {
 	case latest != old.Admission:
 		old.admissionState = admissionState{zoneColdUntil: old.zoneColdUntil, admittedAt: now}
-	case fresh.Admission != nil && fresh.Admission.Generation == latest.Generation:
+	case fresh.Admission != nil && fresh.Admission.NamesHosts() && fresh.Admission.Generation == latest.Generation:
 		old.outdated, old.admittedAt = false, now // the sender takes it for that of the present warm-up
 	}
 	fresh.Admission = latest
@@ -118,21 +118,33 @@
 	c.recordChange(e, from)
 }
 
-// outgoing returns the record of an entry as it is sent or used for steering: with the
-// rest of the warm-up, and without an admission that is no longer needed.
+// outgoing returns the record of an entry as control hosts get it: with the rest of the
+// warm-up, and only the generation of an admission that is no longer needed. On an entry
+// host it is the record as it is used for steering.
 func (c *Catalog) outgoing(e *entry) Record {
 	r := e.Record
-	if e.outdated {
-		r.Admission = nil
-	}
-	if !c.cfg.ColdBound || c.cfg.Self == "" {
+	if !c.cfg.ColdBound {
 		return r
 	}
-	if r.WarmLeft > 0 {
-		r.WarmLeft = max(0, r.ColdUntil-c.lastTick)
+	isNeeded := !e.outdated
+	if c.cfg.Self != "" {
+		if r.WarmLeft > 0 {
+			r.WarmLeft = max(0, r.ColdUntil-c.lastTick)
+		}
+		isCold := c.lastTick < e.coldUntil()
+		isNeeded = isNeeded && (isCold || c.lastTick <= e.admittedAt+admissionRetention)
+	}
+	if r.Admission != nil && !isNeeded {
+		r.Admission = r.Admission.Past()
 	}
-	isCold := c.lastTick < e.coldUntil()
-	if !isCold && c.lastTick > e.admittedAt+admissionRetention {
+	return r
+}
+
+// outgoingForSteering returns the record of an entry as entry hosts get it: like outgoing,
+// without an admission that names no hosts.
+func (c *Catalog) outgoingForSteering(e *entry) Record {
+	r := c.outgoing(e)
+	if r.Admission != nil && !r.Admission.NamesHosts() {
 		r.Admission = nil
 	}
 	return r
@@ -191,7 +203,7 @@
 	if e == nil || service.PerSecond <= 0 || !c.ownsCold(now, e) {
 		return nil
 	}
-	first := e.Admission == nil || e.outdated
+	first := e.Admission == nil || e.outdated || !e.Admission.NamesHosts()
 	if !first && !c.needsOthers(now, e, hosts) {
 		return nil
 	}
--- a/internal/catalog/admission_test.go
+++ b/internal/catalog/admission_test.go
@@ -58,3 +58,33 @@
 		qt.Check(t, *e.Admission, qt.DeepEquals, warmup.Admission{Hosts: []string{tt.hosts}, Each: 2, Generation: tt.generation, Final: tt.generation == 2}, comment)
 	}
 }
+
+// Guards against a control host that starts long after an admission, becomes the owner,
+// and makes one that entry hosts take for an older one: they would keep the hosts of an
+// earlier warm-up, and up to three admissions could be in force.
+func TestLaterOwnerContinuesTheGenerations(t *testing.T) {
+	service := ColdService{PerSecond: 5, Warmup: 2 * time.Second}
+	entry := New(Config{Interval: interval, ColdBound: true})
+	beat := func(c *Catalog, at, left time.Duration, sequence uint64, host string) {
+		c.Tick(at)
+		h := heartbeat("x", 1, sequence)
+		h.WarmLeft = left
+		c.ReceiveHeartbeat(at, h)
+		c.Admit(at, "x", service, oneHost{host, true})
+		entry.Merge(at, c.cfg.Self, c.SteeringSince(0))
+	}
+	first := New(Config{Self: "c1", Interval: interval, ColdBound: true})
+	beat(first, 0, 2*time.Second, 1, "e1")
+	beat(first, 3*time.Second, 0, 2, "e1")
+	beat(first, 20*time.Second, 2*time.Second, 3, "e2")
+	beat(first, 23*time.Second, 0, 4, "e2")
+	beat(first, 110*time.Second, 0, 5, "e2")
+	later := New(Config{Self: "c2", Interval: interval, ColdBound: true})
+	later.Merge(110*time.Second, "c1", first.Since(0, ""))
+	qt.Assert(t, later.Merge(110*time.Second, "c1", first.Since(0, "")), qt.IsFalse, qt.Commentf("nothing new"))
+	qt.Assert(t, later.SteeringSince(0)[0].Admission, qt.IsNil, qt.Commentf("entry hosts do not need it"))
+	beat(later, 111*time.Second, 2*time.Second, 6, "e3")
+	qt.Assert(t, *entry.entries["x"].Admission, qt.DeepEquals, warmup.Admission{Hosts: []string{"e3"}, Each: 2, Generation: 3})
+	first.Merge(111*time.Second, "c2", later.Since(0, ""))
+	qt.Assert(t, first.entries["x"].Admission.Hosts, qt.DeepEquals, []string{"e3"})
+}
--- a/internal/catalog/query.go
+++ b/internal/catalog/query.go
@@ -28,7 +28,7 @@
 	var records []Record
 	for _, e := range c.entries {
 		if e.steering > revision {
-			records = append(records, c.outgoing(e))
+			records = append(records, c.outgoingForSteering(e))
 		}
 	}
 	return records
--- a/internal/warmup/warmup.go
+++ b/internal/warmup/warmup.go
@@ -36,14 +36,21 @@
 
 // Admission names the entry hosts that may open flows to a cold backend server.
 type Admission struct {
-	Hosts []string // feed addresses
-	Each  int      // new flows a second of each of them
+	Hosts []string `cbor:",omitempty"` // feed addresses
+	Each  int      `cbor:",omitempty"` // new flows a second of each of them
 	// Generation counts the admissions of one start of a backend server. The latest one
 	// is in force.
 	Generation uint32
 	Final      bool `cbor:",omitempty"` // whether no other admission may follow until the backend server is warm
 }
 
+// Past returns what control hosts need of an admission whose warm-up is over: its
+// generation, which the next one exceeds.
+func (a *Admission) Past() *Admission { return &Admission{Generation: a.Generation} }
+
+// NamesHosts reports whether the admission names hosts. One that is past does not.
+func (a *Admission) NamesHosts() bool { return len(a.Hosts) > 0 }
+
 // generations is the number of admissions for one warm-up that may be in force at
 // once: a host that is cut off keeps the first one after a second was made.
 const generations = 2
@@ -74,8 +81,10 @@
 		return b
 	case b == nil || a.Generation > b.Generation:
 		return a
-	case b.Generation > a.Generation:
+	case b.Generation > a.Generation || b.NamesHosts() && !a.NamesHosts():
 		return b
+	case !b.NamesHosts():
+		return a
 	}
 	order := cmp.Or(slices.Compare(a.Hosts, b.Hosts), cmp.Compare(a.Each, b.Each))
 	if order > 0 {
