--- a/internal/fleet/publishing_test.go
+++ b/internal/fleet/publishing_test.go
@@ -87,9 +87,11 @@
 		c.Assert(u.Levels, qt.HasLen, 1)
 		c.Assert(u.Levels[0].Share < pace.FullShare, qt.IsTrue)
 
-		for h.shares.pool.Service("orders").Below > 0 { // rises to full before the follower's next update
+		for below := 1; below > 0; time.Sleep(pace.TickInterval) { // it rises to full before the follower's next update
+			h.mu.Lock()
 			h.shares.pool.Tick(h.now())
-			time.Sleep(pace.TickInterval)
+			below = h.shares.pool.Service("orders").Below
+			h.mu.Unlock()
 		}
 		h.changes.publish()
 		u, _, _ = h.Next(entry, cursor)
