Do not load another state while the first one is being put in force

A connection counted as synced before its update was in force, and the loop of an entry host determined whether it could place flows before it looked at the connections. A state now counts once it is in force, and a host that was cold before that no longer counts as cold.

--- a/internal/fleet/controlhosts.go
+++ b/internal/fleet/controlhosts.go
@@ -42,6 +42,10 @@
 	mu    sync.Mutex
 	known map[string]*knownHost // by feed address
 	cold  bool                  // whether this host does not know enough to place flows yet
+	loads uint64                // number of states that were in force here
+	// coldAfter is the value of loads before cold was determined. The states since then
+	// may have made this host warm.
+	coldAfter uint64
 	// incomplete is whether packets reached this host whose backend servers it does not
 	// know, so that another control host may know more.
 	incomplete bool
@@ -57,11 +61,17 @@
 	}
 }
 
-// setWarm sets whether this host knows enough to place flows.
-func (c *controlHosts) setWarm(warm bool) {
+// updateWarm records whether this host knows enough to place flows, as placesFlows
+// reports, and returns it.
+func (c *controlHosts) updateWarm(placesFlows func() bool) bool {
+	c.mu.Lock()
+	loads := c.loads
+	c.mu.Unlock()
+	warm := placesFlows()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.cold = !warm
+	c.cold, c.coldAfter = !warm, loads
+	return warm
 }
 
 // setIncomplete sets whether this host lacks backend servers that others may know.
@@ -122,7 +132,7 @@
 // states would only take the link from callers' packets: each takes 0.3 s of a link of
 // 1.4 Mbit/s with 3,000 backend servers. The caller holds mu.
 func (c *controlHosts) mayLoad(now time.Time, current bool) bool {
-	return c.cold || c.incomplete || current || now.Sub(c.syncAt) >= c.syncPause || !slices.ContainsFunc(c.candidates(), candidate.synced)
+	return c.cold && c.coldAfter == c.loads || c.incomplete || current || now.Sub(c.syncAt) >= c.syncPause || !slices.ContainsFunc(c.candidates(), candidate.synced)
 }
 
 // claimSync reports whether a host that was just reached should send its state at
@@ -164,7 +174,7 @@
 	<-conn.Done()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	h.conn, h.current = nil, false
+	h.conn, h.current, h.loaded = nil, false, false
 	h.retryAt = time.Now().Add(redialDelay)
 	c.wakeUp()
 }
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -150,11 +150,10 @@
 		h.levels.expire(h.steerer.Table())
 		h.catalog.RemoveExpired(h.now())
 		h.checkHeld()
-		warm := h.steerer.Ready()
 		incomplete := h.isMissingServers(h.now())
 		h.mu.Unlock()
 		h.sender.expire()
-		h.controlHosts.setWarm(warm)
+		warm := h.controlHosts.updateWarm(h.placesFlows)
 		h.controlHosts.setIncomplete(incomplete)
 		h.controlHosts.reconcile(h.selectControlHosts)
 		interval := coldTick
@@ -195,7 +194,12 @@
 
 // Updated handles an update from a control host.
 func (h *EntryHost) Updated(addr string, u feed.Update) {
+	h.applyUpdate(addr, u)
 	h.controlHosts.recordUpdate(addr, u)
+}
+
+// applyUpdate puts an update in force.
+func (h *EntryHost) applyUpdate(addr string, u feed.Update) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !u.IsGreeting() {
--- a/internal/fleet/knownhosts.go
+++ b/internal/fleet/knownhosts.go
@@ -18,6 +18,7 @@
 	seed        bool
 	current     bool // whether it reached a quorum at its last update
 	conn        *feed.Connection
+	loaded      bool // whether the state that it sent on the connection is in force here
 	dialing     bool
 	claimed     bool          // whether it is dialed and will send its state at once
 	retryDelay  time.Duration // from the last failed attempt to the next one
@@ -41,6 +42,9 @@
 	switch {
 	case h.conn != nil:
 		x.connected, x.sync = h.info.Addr != "", h.conn.SyncState()
+		if x.sync == feed.Synced && !h.loaded {
+			x.sync = feed.Syncing
+		}
 	case h.claimed:
 		x.sync = feed.Syncing
 	}
@@ -74,7 +78,8 @@
 	return h
 }
 
-// recordUpdate records what a host sent about itself and its peers.
+// recordUpdate records what a host sent about itself and its peers, once the update is
+// in force.
 func (c *controlHosts) recordUpdate(addr string, u feed.Update) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -84,6 +89,11 @@
 	}
 	if h := c.getOrAdd(addr); h != nil {
 		h.lastHeardAt, h.current = now, u.Current
+		if !h.loaded && !u.IsGreeting() {
+			h.loaded = true
+			c.loads++
+			c.wakeUp()
+		}
 		if u.From.Addr != "" {
 			h.info, h.zone = u.From, u.From.Zone
 		}
--- a/internal/fleet/slowlink_test.go
+++ b/internal/fleet/slowlink_test.go
@@ -64,7 +64,7 @@
 }
 
 func (s *stateSink) Updated(addr string, u feed.Update) {
-	s.hosts.recordUpdate(addr, u)
+	defer s.hosts.recordUpdate(addr, u)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(u.Records) > 0 {
@@ -160,7 +160,7 @@
 		hosts.setSeeds(addrs)
 		entry := &EntryHost{cfg: Config{Name: "e1", Zone: "a"}, controlHosts: hosts}
 		for time.Since(sink.since) < slowLinkTimeLimit {
-			hosts.setWarm(sink.arrived() > 0)
+			hosts.updateWarm(func() bool { return sink.arrived() > 0 })
 			hosts.reconcile(entry.selectControlHosts)
 			select {
 			case <-time.After(coldTick):
