Spare flows that use the ports of an earlier one from resets

A host that sees neither the end of a flow nor the opening packet of the next one with the same ports kept the time of the first for both. The second lost the protection of flows first seen shortly before the record of a later start, and was reset although its backend server lives. A packet for another server, or one whose sequence number is more than 4 MB away, now begins a new flow. TestResetsSpareReusedPorts failed before in both cases.

--- a/internal/conntrack/conntrack.go
+++ b/internal/conntrack/conntrack.go
@@ -36,6 +36,9 @@
 	closedRetention = 2 * time.Second
 	// useGranularity is how precisely flows are ordered by their last packet.
 	useGranularity = 100 * time.Millisecond
+	// maxSequenceGap is the largest distance of a sequence number from the data seen before.
+	// It allows for an upload of which this host missed a part, and for old copies.
+	maxSequenceGap = 1 << 22
 	// maxAnswerBytes is the largest rise of the acknowledgement number that is taken for
 	// the first part of an answer. A larger one is of another flow with the same ports.
 	maxAnswerBytes = 1 << 20
@@ -144,8 +147,8 @@
 	case i == 0 && !p.Fin && !p.Reset:
 		t.follow(now, t.add(now, k, d.Server), &p)
 	case i != 0 && !t.flows[i].has(closed):
-		if t.flows[i].token != p.Token {
-			t.rebind(i, d.Server)
+		if t.flows[i].token != p.Token || t.flows[i].isUnlike(&p) {
+			t.rebind(now, i, d.Server)
 		}
 		t.follow(now, i, &p)
 	}
@@ -163,14 +166,21 @@
 	t.wait(now, i, opening)
 }
 
+// isUnlike reports whether the sequence number of a packet is so far from those of a flow
+// that the packet is of another flow with the same ports.
+func (f *flow) isUnlike(p *steering.Packet) bool {
+	return f.has(sequenced) && p.Sequence-f.sentEnd+maxSequenceGap > 2*maxSequenceGap
+}
+
 // rebind records that a flow belongs to another backend server than the last packet
 // said. After a repeated opening packet the caller may have followed the answer of an
-// earlier backend server; otherwise it is another flow with the same ports.
-func (t *Table) rebind(i uint32, s *steering.Server) {
+// earlier backend server; otherwise it is another flow with the same ports, first seen now.
+func (t *Table) rebind(now time.Duration, i uint32, s *steering.Server) {
 	old := t.flows[i].server
 	if !t.flows[i].has(opening) {
 		t.endWait(i)
 		t.flows[i].flags = 0
+		t.flows[i].firstAt = stampOf(now)
 	}
 	t.flows[i].token, t.flows[i].server = s.Token, t.servers.acquire(s)
 	t.servers.release(old)
--- a/internal/conntrack/conntrack_test.go
+++ b/internal/conntrack/conntrack_test.go
@@ -220,6 +220,20 @@
 	}
 }
 
+// Guards against the reset of a flow to a later start whose caller used the ports of an
+// earlier flow, if this host saw neither the end of that one nor the opening packet.
+func TestResetsSpareReusedPorts(t *testing.T) {
+	for server, numbers := range [][2]uint32{{1 << 24, 900}, {10, 900}} {
+		h := newHost(Config{})
+		h.observe(1, sent(0, 0, 10, 10, 900), sent(4900, server, numbers[0], numbers[0], numbers[1]))
+		h.advance(5 * time.Second)
+		records := testServers(2)
+		records[server].Born = 2
+		h.SetTable(h.now, testTable(records...))
+		qt.Check(t, h.resets(10*time.Second), qt.HasLen, 0, qt.Commentf("server %d", server))
+	}
+}
+
 // Guards against a burst of resets that fills the link of the host.
 func TestResetRate(t *testing.T) {
 	h := newHost(Config{})
