Leave outcomes of an earlier start out of reports

Samples name a backend server by its token, which stays the same when it starts again. A request to the earlier start may count as unanswered up to 2 s later, and control hosts then took the failure for one of the present start, whose share of 4/16 they halved. An entry host now leaves out what is about another start than the one in its table. TestNoSamplesOfEarlierStart failed without that (3 samples in place of 1).

--- a/internal/fleet/flows.go
+++ b/internal/fleet/flows.go
@@ -70,12 +70,14 @@
 	}
 }
 
-// tickFlows handles the outcomes since the last call. It returns the flows to reset.
+// tickFlows handles the outcomes since the last call and adds them to the next report. It returns the flows to reset.
 func (h *EntryHost) tickFlows(now time.Duration) []conntrack.Flow {
 	h.mu.Lock()
 	outcomes := h.flows.table.Tick(now)
 	for i := range outcomes {
-		switch o := &outcomes[i]; o.Kind {
+		o := &outcomes[i]
+		h.flows.samples.add(h.steerer.Table(), o)
+		switch o.Kind {
 		case conntrack.Answered:
 			h.steerer.RecordRequestAnswer(now, o.Server, o.Born)
 		case conntrack.Refused:
@@ -92,9 +94,8 @@
 	return resets
 }
 
-// recordOutcome counts and logs an outcome, and adds it to the next report.
+// recordOutcome counts and logs an outcome.
 func (h *EntryHost) recordOutcome(o *conntrack.Outcome) {
-	h.flows.samples.add(o)
 	switch o.Kind {
 	case conntrack.Answered:
 		h.flows.answered.Update(o.Latency.Milliseconds())
--- a/internal/fleet/samples.go
+++ b/internal/fleet/samples.go
@@ -30,9 +30,15 @@
 	return &sampler{rng: rand.New(rand.NewPCG(xxhash.Sum64String(host), 0))}
 }
 
-// add adds an outcome.
-func (s *sampler) add(o *conntrack.Outcome) {
-	x := pace.Sample{Token: uint32(steering.TokenOf(o.Server)), Route: routeHash(o.Route)}
+// add adds an outcome, unless the table knows a backend server as another start than the
+// one that it is about. Samples do not name a start, so that control hosts would count it
+// against the present one.
+func (s *sampler) add(t *steering.Table, o *conntrack.Outcome) {
+	token := steering.TokenOf(o.Server)
+	if known := t.Server(token); known != nil && (known.ID != o.Server || known.Born != o.Born) {
+		return
+	}
+	x := pace.Sample{Token: uint32(token), Route: routeHash(o.Route)}
 	switch o.Kind {
 	case conntrack.Answered:
 		x.Kind, x.LatencyMs, x.Bytes = pace.Answered, toUint16(o.Latency.Milliseconds()), toUint16(int64(o.Bytes))
