Forward samples of failing backend servers between control hosts of a zone

Entry hosts of a zone that follow different control hosts split the evidence, so verdicts came later. Entry hosts send and receive the same as before. Answers of these backend servers go along, since failures alone would make them look worse than they are.

--- a/internal/feed/frame.go
+++ b/internal/feed/frame.go
@@ -110,6 +110,7 @@
 	Refusals   []admission.Refusal `cbor:",omitempty"`
 	Demands    []spread.Demand     `cbor:",omitempty"` // to control hosts: demand of the sender's followers
 	HasDemands bool                `cbor:",omitempty"` // whether Demands is set, which may be empty
+	Samples    []pace.ZoneSamples  `cbor:",omitempty"` // to control hosts of the same zone: samples of backend servers with failures
 	Followers  *[]HostInfo         `cbor:",omitempty"` // to control hosts: entry hosts that follow the sender, if they changed since the last update
 }
 
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -22,6 +22,7 @@
 	Plan        uint64 // revision of the plan for zones
 	Demands     uint64 // revision of the demand, to control hosts
 	Followers   uint64 // revision of the list of followers, to control hosts
+	Samples     uint64 // number of batches of samples, to control hosts of the same zone
 }
 
 // Source provides the updates that a server sends, and handles reports of
--- a/internal/fleet/controlfeed.go
+++ b/internal/fleet/controlfeed.go
@@ -35,6 +35,9 @@
 	if to.Control { // control hosts get the document from the log, and place no flows
 		position.Revision, position.Followers = h.catalog.Revision(), h.followersPosition()
 		position.Demands = h.zones.demandsRevision
+		if to.Zone == h.info.Zone {
+			position.Samples = h.shares.batches
+		}
 		return position
 	}
 	position.Revision, position.Version, position.Suspects = h.steeringPosition(), h.version, h.suspects.revision
@@ -67,6 +70,9 @@
 		if next.Demands != after.Demands {
 			u.Demands, u.HasDemands = h.zones.demands, true
 		}
+		if next.Samples != after.Samples && after.Started {
+			u.Samples = h.shares.forwarded
+		}
 		return u, next, true
 	}
 	u.Records = h.catalog.SteeringSince(after.Revision)
@@ -149,6 +155,7 @@
 	if u.HasDemands {
 		h.zones.planner.Receive(h.now(), addr, u.Demands)
 	}
+	h.receiveForwarded(u.Samples)
 	if u.Followers != nil {
 		h.entryHosts.setRemote(addr, *u.Followers)
 		h.recordEntryHosts(*u.Followers...)
--- a/internal/fleet/shares.go
+++ b/internal/fleet/shares.go
@@ -18,6 +18,35 @@
 	pool     *pace.Pool
 	revision uint64 // revision of the catalog that the pool has
 	tickedAt time.Duration
+	// forwarded is the latest batch of samples for the other control hosts of the zone. One
+	// that a follower is too slow for is lost to it.
+	forwarded []pace.ZoneSamples
+	batches   uint64 // number of batches
+}
+
+// forward prepares the next batch of samples for the other control hosts of the zone. It
+// reports whether there is one. Without a quorum entry hosts report to all control hosts,
+// so none is needed. The caller holds mu.
+func (h *ControlHost) forward() bool {
+	batch := h.shares.pool.TakeForwarded()
+	if len(batch) == 0 || !h.current {
+		return false
+	}
+	h.shares.forwarded = batch
+	h.shares.batches++
+	return true
+}
+
+// receiveForwarded adds the samples that another control host forwarded. The caller holds
+// mu.
+func (h *ControlHost) receiveForwarded(list []pace.ZoneSamples) {
+	if !h.features.Pace || !h.current {
+		return
+	}
+	h.shares.pool.AddForwarded(h.now(), list)
+	for _, z := range list {
+		h.metrics.Counter("pace.forwarded").Inc(int64(len(z.Samples)))
+	}
 }
 
 // levelsRevision returns the revision of the shares after all changes of the catalog
@@ -68,8 +97,8 @@
 		h.metrics.Gauge("pace.below_full." + name).Update(int64(s.Below))
 		h.metrics.Gauge("pace.lowest_share." + name).Update(int64(s.Lowest))
 	}
-	zonesChanged := h.tickZones()
-	return len(changes) > 0 || after != before || zonesChanged
+	zonesChanged, hasBatch := h.tickZones(), h.forward()
+	return len(changes) > 0 || after != before || zonesChanged || hasBatch
 }
 
 func (h *ControlHost) logShares(changes []pace.Change) {
--- a/internal/fleet/shares_test.go
+++ b/internal/fleet/shares_test.go
@@ -56,7 +56,14 @@
 	u, cursor, _ = h.Next(entryHost, feed.Cursor{})
 	c.Assert(u.Levels, qt.HasLen, 2, qt.Commentf("a new follower"))
 	h.Reported(entryHost.From, feed.Report{Samples: samples})
+	h.current = true
 	c.Assert(h.tickShares(), qt.IsTrue)
+	peer := feed.Hello{From: feed.HostInfo{Addr: "c2", Control: true}}
+	u, _, _ = h.Next(peer, feed.Cursor{Started: true})
+	c.Assert(u.Samples, qt.DeepEquals, []pace.ZoneSamples{{Samples: samples[:3]}}, qt.Commentf("those of x0, which failed"))
+	peer.From.Zone = "b"
+	u, _, _ = h.Next(peer, feed.Cursor{Started: true})
+	c.Assert(u.Samples, qt.HasLen, 0)
 	u, _, _ = h.Next(entryHost, cursor)
 	c.Assert(u.Levels[0], qt.Equals, pace.Level{Token: samples[0].Token, Born: 5, Share: 1})
 }
--- a/internal/pace/pool.go
+++ b/internal/pace/pool.go
@@ -87,6 +87,7 @@
 	lastTick time.Duration
 	revision uint64
 	ratios   []float64 // scratch
+	recent   []recentSample
 }
 
 // server is a backend server and its latest outcomes.
@@ -98,6 +99,7 @@
 	reason   Reason  // why share last changed
 	verdict  Verdict
 	outcomes []outcome // oldest first
+	failed   bool      // whether one of Pool.recent is of a failure of it
 }
 
 // service holds the backend servers of a service and what is usual for them.
--- a/internal/pace/usual.go
+++ b/internal/pace/usual.go
@@ -143,28 +143,37 @@
 // ignored.
 func (p *Pool) Add(now time.Duration, zone string, samples []Sample) {
 	for _, x := range samples {
-		s := p.servers[x.Token]
-		if s == nil {
-			continue
-		}
-		group := p.services[s.Service]
-		key := routeKey{route: x.Route, from: zone, to: s.Zone}
-		r := group.routes[key]
-		if r == nil {
-			if len(group.routes) >= maxRoutes {
-				continue
-			}
-			r = &route{}
-			group.routes[key] = r
+		if s, failed := p.addSample(now, zone, x); s != nil {
+			p.collect(s, zone, x, failed)
 		}
-		o := outcome{at: now, route: r, latency: x.LatencyMs, bytes: x.Bytes, kind: x.Kind}
-		o.failed = x.Kind != Answered || float64(x.Bytes) < min(r.usualBytes/2, maxFailureBytes)
-		if len(s.outcomes) == maxOutcomes {
-			copy(s.outcomes, s.outcomes[1:])
-			s.outcomes = s.outcomes[:maxOutcomes-1]
+	}
+}
+
+// addSample adds a sample. It returns its backend server, nil if the sample is ignored, and
+// whether it is of a failure.
+func (p *Pool) addSample(now time.Duration, zone string, x Sample) (_ *server, failed bool) {
+	s := p.servers[x.Token]
+	if s == nil {
+		return nil, false
+	}
+	group := p.services[s.Service]
+	key := routeKey{route: x.Route, from: zone, to: s.Zone}
+	r := group.routes[key]
+	if r == nil {
+		if len(group.routes) >= maxRoutes {
+			return nil, false
 		}
-		s.outcomes = append(s.outcomes, o)
+		r = &route{}
+		group.routes[key] = r
+	}
+	o := outcome{at: now, route: r, latency: x.LatencyMs, bytes: x.Bytes, kind: x.Kind}
+	o.failed = x.Kind != Answered || float64(x.Bytes) < min(r.usualBytes/2, maxFailureBytes)
+	if len(s.outcomes) == maxOutcomes {
+		copy(s.outcomes, s.outcomes[1:])
+		s.outcomes = s.outcomes[:maxOutcomes-1]
 	}
+	s.outcomes = append(s.outcomes, o)
+	return s, o.failed
 }
 
 // ratio returns the latency of an answer relative to the usual one, or 0 if it cannot be
--- a/internal/steering/shares_load_test.go
+++ b/internal/steering/shares_load_test.go
@@ -116,6 +116,14 @@
 		w.pools[h%shareControls].Add(w.now, "a", list[:min(len(list), maxReported)])
 		w.samples[h] = nil
 	}
+	for c, p := range w.pools {
+		batch := p.TakeForwarded()
+		for other, q := range w.pools {
+			if other != c {
+				q.AddForwarded(w.now, batch)
+			}
+		}
+	}
 	for c, p := range w.pools {
 		w.send(c, p.Tick(w.now))
 	}
