Explain where a new flow would go

Config.Random is a *rand.PCG, which can be copied; the sequence of numbers is the same as before. Why a cold backend server is excluded is now told apart.

--- a/internal/fleet/shares.go
+++ b/internal/fleet/shares.go
@@ -85,8 +85,8 @@
 }
 
 // newRandom returns a generator that differs between hosts and starts.
-func newRandom() *rand.Rand {
-	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+func newRandom() *rand.PCG {
+	return rand.NewPCG(rand.Uint64(), rand.Uint64())
 }
 
 // shareLevels holds the shares that the followed control hosts sent, by address of the
--- a/internal/steering/choose.go
+++ b/internal/steering/choose.go
@@ -32,6 +32,9 @@
 	if s.cfg.Shares && len(list) > 0 {
 		return s.chooseByTurn(now, zoneListKey{service: list[0].Service}, list, tried)
 	}
+	if s.trace != nil {
+		s.trace.record(zoneListKey{}, &turns{})
+	}
 	var best *Server
 	bestRank := rankExcluded
 	for _, server := range list {
--- a/internal/steering/cold.go
+++ b/internal/steering/cold.go
@@ -54,15 +54,35 @@
 // excludes reports whether this host may not use a backend server since it is cold, and
 // another host is admitted or the share of this one is used up.
 func (c *coldServers) excludes(now time.Duration, server *Server, t *Table) bool {
+	return c.exclusionOf(now, server, t) != notExcluded
+}
+
+// coldExclusion is why this host may not use a cold backend server.
+type coldExclusion uint8
+
+const (
+	notExcluded coldExclusion = iota
+	noAdmission               // no admission has arrived
+	notAdmitted               // only other hosts are admitted
+	usedUp                    // this host has used up its share of the bound
+)
+
+func (c *coldServers) exclusionOf(now time.Duration, server *Server, t *Table) coldExclusion {
 	if !c.isBounded(now, server) {
-		return false
+		return notExcluded
 	}
 	a := server.Admission
-	if a == nil || !slices.Contains(a.Hosts, c.host) {
-		return true
+	if a == nil {
+		return noAdmission
+	}
+	if !slices.Contains(a.Hosts, c.host) {
+		return notAdmitted
 	}
 	each := a.EachWithin(c.bound.PerSecond(t.settings[server.Service].WarmupRate))
-	return !c.gate.Allows(now, server.ID, server.Born, each)
+	if !c.gate.Allows(now, server.ID, server.Born, each) {
+		return usedUp
+	}
+	return notExcluded
 }
 
 // recordPlaced records a flow that was placed on a backend server.
--- a/internal/steering/shares_load_test.go
+++ b/internal/steering/shares_load_test.go
@@ -216,7 +216,7 @@
 	w.rng, w.byToken = rand.New(rand.NewPCG(seed, 1)), map[Token]*shareServer{}
 	for h := range w.hosts {
 		w.flowsOf[h] = map[*shareServer]int{}
-		w.hosts[h] = New(Config{Zone: "a", Shares: w.rule == "shares", Random: rand.New(rand.NewPCG(seed, uint64(2+h)))})
+		w.hosts[h] = New(Config{Zone: "a", Shares: w.rule == "shares", Random: rand.NewPCG(seed, uint64(2+h))})
 	}
 	for c := range w.pools {
 		w.pools[c] = pace.NewPool()
--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -107,6 +107,8 @@
 	shares         map[Token]Share // shares below FullShare
 	sharesRevision uint64          // increases when shares changes
 	zones          evacuatedZones
+	random         *rand.Rand // draws from cfg.Random
+	trace          *trace     // set only in a copy that Explain made
 }
 
 // opening is a flow that this host placed and whose caller may still retransmit
@@ -134,20 +136,25 @@
 	Host          string       // feed address of the host, by which an admission names it
 	ColdBound     warmup.Bound // of the new flows of a cold backend server; the zero value is no bound
 	// Shares is whether backend servers get new flows in proportion to their shares.
-	// Random then places those that are new at this host among the others.
+	// Random then places those that are new at this host among the others. Its type
+	// can be copied, which Explain needs.
 	Shares bool
-	Random *rand.Rand
+	Random *rand.PCG
 	// Evacuations is whether flows are placed only once the evacuated zones are known.
 	Evacuations bool
 }
 
 // New returns a steerer.
 func New(cfg Config) *Steerer {
-	return &Steerer{
+	s := &Steerer{
 		cfg: cfg, table: Build(nil, nil), openings: map[flowKey]opening{}, lastUsed: map[string]time.Duration{},
 		drains: drains{}, suspects: newSuspects(), requestAnswers: requestAnswers{}, cold: newColdServers(cfg),
 		turns: map[zoneListKey]*turns{}, shares: map[Token]Share{},
 	}
+	if cfg.Random != nil {
+		s.random = rand.New(cfg.Random)
+	}
+	return s
 }
 
 // SetTable replaces the table. It returns false and keeps the current table if
@@ -206,12 +213,9 @@
 
 // place places a new flow.
 func (s *Steerer) place(now time.Duration, p Packet) Decision {
-	if !s.Ready() {
-		return Decision{Verdict: Drop, Reason: NoState} // not refused, since a copy may reach a host whose table is ready
-	}
-	route := s.table.routes[p.Route]
+	route, d := s.routeOf(p.Route)
 	if route == nil {
-		return Decision{Verdict: Refuse, Reason: NoRoute}
+		return d
 	}
 	flow := p.Flow()
 	before := s.openings[flow.key()]
@@ -221,23 +225,20 @@
 	if before.answered {
 		return Decision{Verdict: Drop, Reason: OpenAlready} // the copy arrived late
 	}
-	d := Decision{Verdict: Forward, Reason: Placed, Service: serviceOf(route, flow)}
+	service := serviceOf(route, flow)
 	if server := s.serverOfHeld(now, before); server != nil {
-		d.Reason, d.Server = PlacedAgain, server
-		return d
+		return Decision{Verdict: Forward, Reason: PlacedAgain, Server: server, Service: service}
 	}
-	switch {
-	case before.server != nil:
-		d.Reason, d.Unanswered = PlacedAgain, s.recordUnanswered(now, before.server)
-		d.Server = s.choose(now, s.table.services[d.Service], before.tried)
-	case s.plan.refuses(d.Service, route.Priority):
-		return Decision{Verdict: Refuse, Reason: Overload, Service: d.Service}
-	default:
+	if before.server == nil {
 		before.firstAt = now
-		d.Server = s.chooseByPlan(now, d.Service)
+		d = s.decideNew(now, service, route.Priority)
+	} else {
+		unanswered := s.recordUnanswered(now, before.server)
+		d = s.decisionFor(now, service, s.choose(now, s.table.services[service], before.tried), PlacedAgain)
+		d.Unanswered = unanswered
 	}
 	if d.Server == nil {
-		return Decision{Verdict: Refuse, Reason: s.refusal(now, d.Service), Service: d.Service, Unanswered: d.Unanswered}
+		return d
 	}
 	s.cold.recordPlaced(now, d.Server)
 	s.lastUsed[d.Server.ID] = now
@@ -245,6 +246,37 @@
 	return d
 }
 
+// routeOf returns the route that callers reach at an address, or nil and the decision
+// about flows to that address.
+func (s *Steerer) routeOf(address netip.AddrPort) (*document.Route, Decision) {
+	if !s.Ready() {
+		return nil, Decision{Verdict: Drop, Reason: NoState} // not refused, since a copy may reach a host whose table is ready
+	}
+	if route := s.table.routes[address]; route != nil {
+		return route, Decision{}
+	}
+	return nil, Decision{Verdict: Refuse, Reason: NoRoute}
+}
+
+// decideNew decides about the first opening packet of a flow to a service. Of the state,
+// it changes only the order of turns, the remainders of the plan and the random generator,
+// which Explain copies. What follows from the decision is recorded by place.
+func (s *Steerer) decideNew(now time.Duration, service string, priority int) Decision {
+	if s.plan.refuses(service, priority) {
+		return Decision{Verdict: Refuse, Reason: Overload, Service: service}
+	}
+	return s.decisionFor(now, service, s.chooseByPlan(now, service), Placed)
+}
+
+// decisionFor returns the decision to use a backend server for the given reason, or to
+// refuse the flow if server is nil.
+func (s *Steerer) decisionFor(now time.Duration, service string, server *Server, reason Reason) Decision {
+	if server == nil {
+		return Decision{Verdict: Refuse, Reason: s.refusal(now, service), Service: service}
+	}
+	return Decision{Verdict: Forward, Reason: reason, Server: server, Service: service}
+}
+
 // recordUnanswered records that a backend server left an opening packet
 // unanswered. It returns the backend server if that should be reported to other
 // hosts, else nil.
--- a/internal/steering/steering_test.go
+++ b/internal/steering/steering_test.go
@@ -190,7 +190,7 @@
 	for n := range 150 {
 		records = append(records, backend(fmt.Sprintf("i-%d", n), "orders", "a", catalog.Ready))
 	}
-	s := New(Config{Zone: "a", DrainFallback: drainFallback})
+	s, withShares := New(Config{Zone: "a", DrainFallback: drainFallback}), newShareSteerer(1, records...)
 	s.SetTable(0, Build(testDocument(1), records))
 	packet := Packet{Caller: callerAddress(1), Route: orders, Token: TokenOf("i-7")}
 	b.Run("open flow", func(b *testing.B) {
@@ -203,6 +203,11 @@
 			s.Decide(0, syn(n%60000, orders, 0))
 		}
 	})
+	b.Run("new flow with shares", func(b *testing.B) {
+		for n := 0; b.Loop(); n++ {
+			withShares.Decide(0, syn(n%60000, orders, 0))
+		}
+	})
 }
 
 func TestServersThatDoNotAnswerAreAvoided(t *testing.T) {
--- a/internal/steering/turns.go
+++ b/internal/steering/turns.go
@@ -76,12 +76,15 @@
 		p := &t.places[i]
 		r := s.rankOf(now, server, tried)
 		if r != p.rank && r != rankTried { // rankTried holds for this flow only
-			p.rank, p.next = r, t.clocks[r]+s.cfg.Random.Float64()*p.stride
+			p.rank, p.next = r, t.clocks[r]+s.random.Float64()*p.stride
 		}
 		if r < bestRank || r == bestRank && best >= 0 && p.next < t.places[best].next {
 			best, bestRank = i, r
 		}
 	}
+	if s.trace != nil {
+		s.trace.record(key, t)
+	}
 	if best < 0 {
 		return nil
 	}
--- a/internal/steering/turns_test.go
+++ b/internal/steering/turns_test.go
@@ -12,7 +12,7 @@
 )
 
 func newShareSteerer(seed uint64, records ...catalog.Record) *Steerer {
-	s := New(Config{Zone: "a", Shares: true, Random: rand.New(rand.NewPCG(seed, 1))})
+	s := New(Config{Zone: "a", Shares: true, Random: rand.NewPCG(seed, 1)})
 	s.SetTable(0, Build(testDocument(1), records))
 	return s
 }
--- a/internal/steering/zoneplan.go
+++ b/internal/steering/zoneplan.go
@@ -102,7 +102,11 @@
 // the zone that the plan names, if that is as good as any in another zone, else the one
 // that choose returns.
 func (s *Steerer) chooseByPlan(now time.Duration, service string) *Server {
-	if zone := s.plan.zoneOf(service); zone != "" {
+	zone := s.plan.zoneOf(service)
+	if s.trace != nil {
+		s.trace.planZone = zone
+	}
+	if zone != "" {
 		key := zoneListKey{service, zone}
 		server := s.chooseByTurn(now, key, s.serversIn(key), nil)
 		if server != nil && s.rankOf(now, server, nil) <= rankOtherZone {
--- a/internal/steering/zoneplan_test.go
+++ b/internal/steering/zoneplan_test.go
@@ -14,7 +14,7 @@
 // newPlanSteerer returns a steerer with shares and three backend servers in each of the
 // zones a and b.
 func newPlanSteerer(t *testing.T) *Steerer {
-	s := New(Config{Zone: "a", DrainFallback: drainFallback, Shares: true, Random: rand.New(rand.NewPCG(1, 2))})
+	s := New(Config{Zone: "a", DrainFallback: drainFallback, Shares: true, Random: rand.NewPCG(1, 2)})
 	d := testDocument(1)
 	d.Routes[0].Priority = 1
 	var records []catalog.Record
