--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -108,7 +108,7 @@
 	if h.flows != nil {
 		h.done.Go(h.trackFlows)
 	}
-	serveMetrics(h.ctx, h.cfg.Metrics, h.metrics, h.log)
+	serveMetrics(h.ctx, h.cfg.Metrics, h.metrics, h.log, h.whereRoute)
 	return nil
 }
 
--- a/internal/fleet/evacuationapi.go
+++ b/internal/fleet/evacuationapi.go
@@ -76,6 +76,8 @@
 	switch kind {
 	case fault.Invalid:
 		return http.StatusBadRequest
+	case fault.NotFound:
+		return http.StatusNotFound
 	case fault.Conflict:
 		return http.StatusConflict
 	}
