--- /dev/null
+++ b/internal/cli/where_test.go
@@ -0,0 +1,60 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"greengagequay/internal/fault"
+	"greengagequay/internal/fleet"
+)
+
+// Guards against candidates left out without a word, parameters that do not reach the
+// host, and errors of the host or of a wrong address without their remedy.
+func TestWhere(t *testing.T) {
+	c := qt.New(t)
+	a := fleet.WhereAnswer{Host: "h4", Service: "orders", Decision: fleet.WhereDecision{Verdict: "forward", Reason: "placed", Backend: "x00"}}
+	for n := range 12 {
+		a.Candidates = append(a.Candidates, fleet.WhereCandidate{ID: fmt.Sprintf("x%02d", n), Rank: "own zone", Share: 16})
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+fleet.WherePath, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.RawQuery != "priority=1&service=orders" {
+			w.WriteHeader(http.StatusNotFound)
+			_ = json.NewEncoder(w).Encode(fleet.ErrorBody{Kind: fault.NotFound, Message: "asked for " + r.URL.RawQuery, Remedy: "ask again"})
+			return
+		}
+		_ = json.NewEncoder(w).Encode(a)
+	})
+	s, empty := httptest.NewServer(mux), httptest.NewServer(http.NewServeMux())
+	defer s.Close()
+	defer empty.Close()
+	run := func(s *httptest.Server, args ...string) (int, string, string) {
+		return quayctl(strings.TrimPrefix(s.URL, "http://"), append([]string{"where"}, args...)...)
+	}
+
+	code, out, _ := run(s, "--service", "orders", "--priority", "1")
+	c.Assert(code, qt.Equals, exitOK)
+	c.Assert(out, qt.Matches, `(?s)decision +forward placed x00\n.*x09.*\n2 more; .*`)
+	c.Assert(out, qt.Not(qt.Contains), "x10")
+	_, out, _ = run(s, "--service", "orders", "--priority", "1", "--all")
+	c.Assert(out, qt.Contains, "x11")
+	_, out, _ = run(s, "--service", "orders", "--priority", "1", "-o", "json")
+	var got fleet.WhereAnswer
+	c.Assert(json.Unmarshal([]byte(out), &got), qt.IsNil)
+	c.Assert(got.Candidates, qt.HasLen, maxCandidates)
+	c.Assert(got.Omitted, qt.Equals, 2)
+
+	code, _, errOut := run(s, "--caller", "1.2.3.4:5", "--route", "6.7.8.9:10")
+	c.Assert(code, qt.Equals, exitFailure)
+	c.Assert(errOut, qt.Equals, "quayctl: asked for caller=1.2.3.4%3A5&route=6.7.8.9%3A10\nremedy: ask again\n")
+	_, _, errOut = run(empty, "--service", "orders")
+	c.Assert(errOut, qt.Matches, `(?s).*explains no placements.*remedy: .*entry host.*`)
+	code, _, _ = run(s, "--caller", "1.2.3.4:5")
+	c.Assert(code, qt.Equals, exitUsage)
+}
