Answer over the API of quayd run where a new flow would go

Change: GET /v1/where walks the opening packet through the table of the host and returns bucket, phase, home, candidates with the flows that each has, and the decision. internal/api is generated. Result: TestHostWithoutStateAnswersNoReads covers the call.

--- a/internal/api/oas_client_gen.go
+++ b/internal/api/oas_client_gen.go
@@ -89,6 +89,12 @@
 	//
 	// POST /v1/changes
 	SubmitChange(ctx context.Context, request *ChangeRequest) (*ChangeResult, error)
+	// Where invokes where operation.
+	//
+	// Where the opening packet of a new flow would go now, and why. Nothing is sent.
+	//
+	// GET /v1/where
+	Where(ctx context.Context, params WhereParams) (*Where, error)
 }
 
 // Client implements OAS client.
@@ -758,3 +764,94 @@
 
 	return result, nil
 }
+
+// Where invokes where operation.
+//
+// Where the opening packet of a new flow would go now, and why. Nothing is sent.
+//
+// GET /v1/where
+func (c *Client) Where(ctx context.Context, params WhereParams) (*Where, error) {
+	res, err := c.sendWhere(ctx, params)
+	return res, err
+}
+
+func (c *Client) sendWhere(ctx context.Context, params WhereParams) (res *Where, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [1]string
+	pathParts[0] = "/v1/where"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	q := uri.NewQueryEncoder()
+	{
+		// Encode "caller" parameter.
+		cfg := uri.QueryParameterEncodingConfig{
+			Name:    "caller",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.EncodeParam(cfg, func(e uri.Encoder) error {
+			return e.EncodeValue(conv.StringToString(params.Caller))
+		}); err != nil {
+			return res, errors.Wrap(err, "encode query")
+		}
+	}
+	{
+		// Encode "route" parameter.
+		cfg := uri.QueryParameterEncodingConfig{
+			Name:    "route",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.EncodeParam(cfg, func(e uri.Encoder) error {
+			return e.EncodeValue(conv.StringToString(params.Route))
+		}); err != nil {
+			return res, errors.Wrap(err, "encode query")
+		}
+	}
+	{
+		// Encode "protocol" parameter.
+		cfg := uri.QueryParameterEncodingConfig{
+			Name:    "protocol",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.EncodeParam(cfg, func(e uri.Encoder) error {
+			if val, ok := params.Protocol.Get(); ok {
+				return e.EncodeValue(conv.StringToString(string(val)))
+			}
+			return nil
+		}); err != nil {
+			return res, errors.Wrap(err, "encode query")
+		}
+	}
+	u.RawQuery = q.Values().Encode()
+
+	r, err := ht.NewRequest(ctx, "GET", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeWhereResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
--- a/internal/api/oas_handlers_gen.go
+++ b/internal/api/oas_handlers_gen.go
@@ -1108,3 +1108,106 @@
 		return
 	}
 }
+
+// handleWhereRequest handles where operation.
+//
+// Where the opening packet of a new flow would go now, and why. Nothing is sent.
+//
+// GET /v1/where
+func (s *Server) handleWhereRequest(args [0]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: WhereOperation,
+			ID:   "where",
+		}
+	)
+	params, err := decodeWhereParams(args, argsEscaped, r)
+	if err != nil {
+		err = &ogenerrors.DecodeParamsError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeParams", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+
+	var rawBody []byte
+
+	var response *Where
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    WhereOperation,
+			OperationSummary: "Where the opening packet of a new flow would go now, and why. Nothing is sent.",
+			OperationID:      "where",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params: middleware.Parameters{
+				{
+					Name: "caller",
+					In:   "query",
+				}: params.Caller,
+				{
+					Name: "route",
+					In:   "query",
+				}: params.Route,
+				{
+					Name: "protocol",
+					In:   "query",
+				}: params.Protocol,
+			},
+			Raw: r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = WhereParams
+			Response = *Where
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			unpackWhereParams,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.Where(ctx, params)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.Where(ctx, params)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*ErrorStatusCode](err); ok {
+			if err := encodeErrorResponse(errRes, w); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeWhereResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
--- a/internal/api/oas_json_gen.go
+++ b/internal/api/oas_json_gen.go
@@ -3475,6 +3475,646 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *Where) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Where) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("host")
+		e.Str(s.Host)
+	}
+	{
+		e.FieldStart("zone")
+		e.Str(s.Zone)
+	}
+	{
+		e.FieldStart("revision")
+		e.Int64(s.Revision)
+	}
+	{
+		e.FieldStart("service")
+		e.Str(s.Service)
+	}
+	{
+		e.FieldStart("bucket")
+		e.Int(s.Bucket)
+	}
+	{
+		e.FieldStart("buckets")
+		e.Int(s.Buckets)
+	}
+	{
+		e.FieldStart("phase")
+		s.Phase.Encode(e)
+	}
+	{
+		if s.Home.Set {
+			e.FieldStart("home")
+			s.Home.Encode(e)
+		}
+	}
+	{
+		e.FieldStart("candidates")
+		e.ArrStart()
+		for _, elem := range s.Candidates {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
+	{
+		e.FieldStart("hops")
+		e.ArrStart()
+		for _, elem := range s.Hops {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
+	{
+		e.FieldStart("verdict")
+		e.Str(s.Verdict)
+	}
+	{
+		e.FieldStart("reason")
+		e.Str(s.Reason)
+	}
+	{
+		if s.Backend.Set {
+			e.FieldStart("backend")
+			s.Backend.Encode(e)
+		}
+	}
+}
+
+var jsonFieldsNameOfWhere = [13]string{
+	0:  "host",
+	1:  "zone",
+	2:  "revision",
+	3:  "service",
+	4:  "bucket",
+	5:  "buckets",
+	6:  "phase",
+	7:  "home",
+	8:  "candidates",
+	9:  "hops",
+	10: "verdict",
+	11: "reason",
+	12: "backend",
+}
+
+// Decode decodes Where from json.
+func (s *Where) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Where to nil")
+	}
+	var requiredBitSet [2]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "host":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Host = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"host\"")
+			}
+		case "zone":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.Zone = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"zone\"")
+			}
+		case "revision":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Int64()
+				s.Revision = int64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"revision\"")
+			}
+		case "service":
+			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				v, err := d.Str()
+				s.Service = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"service\"")
+			}
+		case "bucket":
+			requiredBitSet[0] |= 1 << 4
+			if err := func() error {
+				v, err := d.Int()
+				s.Bucket = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"bucket\"")
+			}
+		case "buckets":
+			requiredBitSet[0] |= 1 << 5
+			if err := func() error {
+				v, err := d.Int()
+				s.Buckets = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"buckets\"")
+			}
+		case "phase":
+			requiredBitSet[0] |= 1 << 6
+			if err := func() error {
+				if err := s.Phase.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"phase\"")
+			}
+		case "home":
+			if err := func() error {
+				s.Home.Reset()
+				if err := s.Home.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"home\"")
+			}
+		case "candidates":
+			requiredBitSet[1] |= 1 << 0
+			if err := func() error {
+				s.Candidates = make([]WhereCandidate, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem WhereCandidate
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Candidates = append(s.Candidates, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"candidates\"")
+			}
+		case "hops":
+			requiredBitSet[1] |= 1 << 1
+			if err := func() error {
+				s.Hops = make([]WhereHop, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem WhereHop
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Hops = append(s.Hops, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"hops\"")
+			}
+		case "verdict":
+			requiredBitSet[1] |= 1 << 2
+			if err := func() error {
+				v, err := d.Str()
+				s.Verdict = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"verdict\"")
+			}
+		case "reason":
+			requiredBitSet[1] |= 1 << 3
+			if err := func() error {
+				v, err := d.Str()
+				s.Reason = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"reason\"")
+			}
+		case "backend":
+			if err := func() error {
+				s.Backend.Reset()
+				if err := s.Backend.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"backend\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Where")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [2]uint8{
+		0b01111111,
+		0b00001111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfWhere) {
+					name = jsonFieldsNameOfWhere[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Where) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Where) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s *WhereCandidate) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *WhereCandidate) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("id")
+		e.Str(s.ID)
+	}
+	{
+		e.FieldStart("zone")
+		e.Str(s.Zone)
+	}
+	{
+		e.FieldStart("state")
+		e.Str(s.State)
+	}
+	{
+		e.FieldStart("reason")
+		e.Str(s.Reason)
+	}
+}
+
+var jsonFieldsNameOfWhereCandidate = [4]string{
+	0: "id",
+	1: "zone",
+	2: "state",
+	3: "reason",
+}
+
+// Decode decodes WhereCandidate from json.
+func (s *WhereCandidate) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode WhereCandidate to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "id":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.ID = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"id\"")
+			}
+		case "zone":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.Zone = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"zone\"")
+			}
+		case "state":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Str()
+				s.State = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"state\"")
+			}
+		case "reason":
+			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				v, err := d.Str()
+				s.Reason = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"reason\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode WhereCandidate")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00001111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfWhereCandidate) {
+					name = jsonFieldsNameOfWhereCandidate[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *WhereCandidate) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *WhereCandidate) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s *WhereHop) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *WhereHop) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("host")
+		e.Str(s.Host)
+	}
+	{
+		e.FieldStart("action")
+		e.Str(s.Action)
+	}
+	{
+		if s.To.Set {
+			e.FieldStart("to")
+			s.To.Encode(e)
+		}
+	}
+}
+
+var jsonFieldsNameOfWhereHop = [3]string{
+	0: "host",
+	1: "action",
+	2: "to",
+}
+
+// Decode decodes WhereHop from json.
+func (s *WhereHop) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode WhereHop to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "host":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Host = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"host\"")
+			}
+		case "action":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.Action = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"action\"")
+			}
+		case "to":
+			if err := func() error {
+				s.To.Reset()
+				if err := s.To.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"to\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode WhereHop")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000011,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfWhereHop) {
+					name = jsonFieldsNameOfWhereHop[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *WhereHop) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *WhereHop) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode encodes WherePhase as json.
+func (s WherePhase) Encode(e *jx.Encoder) {
+	e.Str(string(s))
+}
+
+// Decode decodes WherePhase from json.
+func (s *WherePhase) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode WherePhase to nil")
+	}
+	v, err := d.StrBytes()
+	if err != nil {
+		return err
+	}
+	// Try to use constant string.
+	switch WherePhase(v) {
+	case WherePhaseStable:
+		*s = WherePhaseStable
+	case WherePhasePrepare:
+		*s = WherePhasePrepare
+	case WherePhaseMove:
+		*s = WherePhaseMove
+	case WherePhaseSettle:
+		*s = WherePhaseSettle
+	default:
+		*s = WherePhase(v)
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s WherePhase) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *WherePhase) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *Zone) Encode(e *jx.Encoder) {
 	e.ObjStart()
--- a/internal/api/oas_operations_gen.go
+++ b/internal/api/oas_operations_gen.go
@@ -19,4 +19,5 @@
 	ListServicesOperation        OperationName = "ListServices"
 	ListZonesOperation           OperationName = "ListZones"
 	SubmitChangeOperation        OperationName = "SubmitChange"
+	WhereOperation               OperationName = "Where"
 )
--- a/internal/api/oas_parameters_gen.go
+++ b/internal/api/oas_parameters_gen.go
@@ -295,3 +295,177 @@
 	}
 	return params, nil
 }
+
+// WhereParams is parameters of where operation.
+type WhereParams struct {
+	// IP:port.
+	Caller string
+	// IP:port of a service.
+	Route    string
+	Protocol OptWhereProtocol `json:",omitempty,omitzero"`
+}
+
+func unpackWhereParams(packed middleware.Parameters) (params WhereParams) {
+	{
+		key := middleware.ParameterKey{
+			Name: "caller",
+			In:   "query",
+		}
+		params.Caller = packed[key].(string)
+	}
+	{
+		key := middleware.ParameterKey{
+			Name: "route",
+			In:   "query",
+		}
+		params.Route = packed[key].(string)
+	}
+	{
+		key := middleware.ParameterKey{
+			Name: "protocol",
+			In:   "query",
+		}
+		if v, ok := packed[key]; ok {
+			params.Protocol = v.(OptWhereProtocol)
+		}
+	}
+	return params
+}
+
+func decodeWhereParams(args [0]string, argsEscaped bool, r *http.Request) (params WhereParams, _ error) {
+	q := uri.NewQueryDecoder(r.URL.Query())
+	// Decode query: caller.
+	if err := func() error {
+		cfg := uri.QueryParameterDecodingConfig{
+			Name:    "caller",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.HasParam(cfg); err == nil {
+			if err := q.DecodeParam(cfg, func(d uri.Decoder) error {
+				val, err := d.DecodeValue()
+				if err != nil {
+					return err
+				}
+
+				c, err := conv.ToString(val)
+				if err != nil {
+					return err
+				}
+
+				params.Caller = c
+				return nil
+			}); err != nil {
+				return err
+			}
+		} else {
+			return err
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "caller",
+			In:   "query",
+			Err:  err,
+		}
+	}
+	// Decode query: route.
+	if err := func() error {
+		cfg := uri.QueryParameterDecodingConfig{
+			Name:    "route",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.HasParam(cfg); err == nil {
+			if err := q.DecodeParam(cfg, func(d uri.Decoder) error {
+				val, err := d.DecodeValue()
+				if err != nil {
+					return err
+				}
+
+				c, err := conv.ToString(val)
+				if err != nil {
+					return err
+				}
+
+				params.Route = c
+				return nil
+			}); err != nil {
+				return err
+			}
+		} else {
+			return err
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "route",
+			In:   "query",
+			Err:  err,
+		}
+	}
+	// Set default value for query: protocol.
+	{
+		val := WhereProtocol("tcp")
+		params.Protocol.SetTo(val)
+	}
+	// Decode query: protocol.
+	if err := func() error {
+		cfg := uri.QueryParameterDecodingConfig{
+			Name:    "protocol",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.HasParam(cfg); err == nil {
+			if err := q.DecodeParam(cfg, func(d uri.Decoder) error {
+				var paramsDotProtocolVal WhereProtocol
+				if err := func() error {
+					val, err := d.DecodeValue()
+					if err != nil {
+						return err
+					}
+
+					c, err := conv.ToString(val)
+					if err != nil {
+						return err
+					}
+
+					paramsDotProtocolVal = WhereProtocol(c)
+					return nil
+				}(); err != nil {
+					return err
+				}
+				params.Protocol.SetTo(paramsDotProtocolVal)
+				return nil
+			}); err != nil {
+				return err
+			}
+			if err := func() error {
+				if value, ok := params.Protocol.Get(); ok {
+					if err := func() error {
+						if err := value.Validate(); err != nil {
+							return err
+						}
+						return nil
+					}(); err != nil {
+						return err
+					}
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "protocol",
+			In:   "query",
+			Err:  err,
+		}
+	}
+	return params, nil
+}
--- a/internal/api/oas_response_decoders_gen.go
+++ b/internal/api/oas_response_decoders_gen.go
@@ -1392,3 +1392,104 @@
 	}
 	return res, errors.Wrap(defRes, "error")
 }
+
+func decodeWhereResponse(resp *http.Response) (res *Where, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Where
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			return &response, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	// Convenient error response.
+	defRes, err := func() (res *ErrorStatusCode, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Error
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			return &ErrorStatusCode{
+				StatusCode: resp.StatusCode,
+				Response:   response,
+			}, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, errors.Wrap(defRes, "error")
+}
--- a/internal/api/oas_response_encoders_gen.go
+++ b/internal/api/oas_response_encoders_gen.go
@@ -352,6 +352,27 @@
 	return nil
 }
 
+func encodeWhereResponse(response *Where, w http.ResponseWriter) error {
+	if err := func() error {
+		if err := response.Validate(); err != nil {
+			return err
+		}
+		return nil
+	}(); err != nil {
+		return errors.Wrap(err, "validate")
+	}
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeErrorResponse(response *ErrorStatusCode, w http.ResponseWriter) error {
 	if err := func() error {
 		if err := response.Validate(); err != nil {
--- a/internal/api/oas_router_gen.go
+++ b/internal/api/oas_router_gen.go
@@ -383,6 +383,31 @@
 
 				}
 
+			case 'w': // Prefix: "where"
+
+				if l := len("where"); len(elem) >= l && elem[0:l] == "where" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					// Leaf node.
+					switch r.Method {
+					case "GET":
+						s.handleWhereRequest([0]string{}, elemIsEscaped, w, r)
+					default:
+						s.notAllowed(w, r, notAllowedParams{
+							allowedMethods: "GET",
+							allowedHeaders: nil,
+							acceptPost:     "",
+							acceptPatch:    "",
+						})
+					}
+
+					return
+				}
+
 			case 'z': // Prefix: "zones"
 
 				if l := len("zones"); len(elem) >= l && elem[0:l] == "zones" {
@@ -833,6 +858,31 @@
 
 				}
 
+			case 'w': // Prefix: "where"
+
+				if l := len("where"); len(elem) >= l && elem[0:l] == "where" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					// Leaf node.
+					switch method {
+					case "GET":
+						r.name = WhereOperation
+						r.summary = "Where the opening packet of a new flow would go now, and why. Nothing is sent."
+						r.operationID = "where"
+						r.operationGroup = ""
+						r.pathPattern = "/v1/where"
+						r.args = args
+						r.count = 0
+						return r, true
+					default:
+						return
+					}
+				}
+
 			case 'z': // Prefix: "zones"
 
 				if l := len("zones"); len(elem) >= l && elem[0:l] == "zones" {
--- a/internal/api/oas_schemas_gen.go
+++ b/internal/api/oas_schemas_gen.go
@@ -1275,6 +1275,52 @@
 	return d
 }
 
+// NewOptWhereProtocol returns new OptWhereProtocol with value set to v.
+func NewOptWhereProtocol(v WhereProtocol) OptWhereProtocol {
+	return OptWhereProtocol{
+		Value: v,
+		Set:   true,
+	}
+}
+
+// OptWhereProtocol is optional WhereProtocol.
+type OptWhereProtocol struct {
+	Value WhereProtocol
+	Set   bool
+}
+
+// IsSet returns true if OptWhereProtocol was set.
+func (o OptWhereProtocol) IsSet() bool { return o.Set }
+
+// Reset unsets value.
+func (o *OptWhereProtocol) Reset() {
+	var v WhereProtocol
+	o.Value = v
+	o.Set = false
+}
+
+// SetTo sets value to v.
+func (o *OptWhereProtocol) SetTo(v WhereProtocol) {
+	o.Set = true
+	o.Value = v
+}
+
+// Get returns value and boolean that denotes whether value was set.
+func (o OptWhereProtocol) Get() (v WhereProtocol, ok bool) {
+	if !o.Set {
+		return v, false
+	}
+	return o.Value, true
+}
+
+// Or returns value if set, or given parameter if does not.
+func (o OptWhereProtocol) Or(d WhereProtocol) WhereProtocol {
+	if v, ok := o.Get(); ok {
+		return v
+	}
+	return d
+}
+
 // Ref: #/components/schemas/Override
 type Override struct {
 	Path  string `json:"path"`
@@ -1585,6 +1631,335 @@
 	s.Lagging = val
 }
 
+// Ref: #/components/schemas/Where
+type Where struct {
+	Host       string           `json:"host"`
+	Zone       string           `json:"zone"`
+	Revision   int64            `json:"revision"`
+	Service    string           `json:"service"`
+	Bucket     int              `json:"bucket"`
+	Buckets    int              `json:"buckets"`
+	Phase      WherePhase       `json:"phase"`
+	Home       OptString        `json:"home"`
+	Candidates []WhereCandidate `json:"candidates"`
+	Hops       []WhereHop       `json:"hops"`
+	Verdict    string           `json:"verdict"`
+	Reason     string           `json:"reason"`
+	Backend    OptString        `json:"backend"`
+}
+
+// GetHost returns the value of Host.
+func (s *Where) GetHost() string {
+	return s.Host
+}
+
+// GetZone returns the value of Zone.
+func (s *Where) GetZone() string {
+	return s.Zone
+}
+
+// GetRevision returns the value of Revision.
+func (s *Where) GetRevision() int64 {
+	return s.Revision
+}
+
+// GetService returns the value of Service.
+func (s *Where) GetService() string {
+	return s.Service
+}
+
+// GetBucket returns the value of Bucket.
+func (s *Where) GetBucket() int {
+	return s.Bucket
+}
+
+// GetBuckets returns the value of Buckets.
+func (s *Where) GetBuckets() int {
+	return s.Buckets
+}
+
+// GetPhase returns the value of Phase.
+func (s *Where) GetPhase() WherePhase {
+	return s.Phase
+}
+
+// GetHome returns the value of Home.
+func (s *Where) GetHome() OptString {
+	return s.Home
+}
+
+// GetCandidates returns the value of Candidates.
+func (s *Where) GetCandidates() []WhereCandidate {
+	return s.Candidates
+}
+
+// GetHops returns the value of Hops.
+func (s *Where) GetHops() []WhereHop {
+	return s.Hops
+}
+
+// GetVerdict returns the value of Verdict.
+func (s *Where) GetVerdict() string {
+	return s.Verdict
+}
+
+// GetReason returns the value of Reason.
+func (s *Where) GetReason() string {
+	return s.Reason
+}
+
+// GetBackend returns the value of Backend.
+func (s *Where) GetBackend() OptString {
+	return s.Backend
+}
+
+// SetHost sets the value of Host.
+func (s *Where) SetHost(val string) {
+	s.Host = val
+}
+
+// SetZone sets the value of Zone.
+func (s *Where) SetZone(val string) {
+	s.Zone = val
+}
+
+// SetRevision sets the value of Revision.
+func (s *Where) SetRevision(val int64) {
+	s.Revision = val
+}
+
+// SetService sets the value of Service.
+func (s *Where) SetService(val string) {
+	s.Service = val
+}
+
+// SetBucket sets the value of Bucket.
+func (s *Where) SetBucket(val int) {
+	s.Bucket = val
+}
+
+// SetBuckets sets the value of Buckets.
+func (s *Where) SetBuckets(val int) {
+	s.Buckets = val
+}
+
+// SetPhase sets the value of Phase.
+func (s *Where) SetPhase(val WherePhase) {
+	s.Phase = val
+}
+
+// SetHome sets the value of Home.
+func (s *Where) SetHome(val OptString) {
+	s.Home = val
+}
+
+// SetCandidates sets the value of Candidates.
+func (s *Where) SetCandidates(val []WhereCandidate) {
+	s.Candidates = val
+}
+
+// SetHops sets the value of Hops.
+func (s *Where) SetHops(val []WhereHop) {
+	s.Hops = val
+}
+
+// SetVerdict sets the value of Verdict.
+func (s *Where) SetVerdict(val string) {
+	s.Verdict = val
+}
+
+// SetReason sets the value of Reason.
+func (s *Where) SetReason(val string) {
+	s.Reason = val
+}
+
+// SetBackend sets the value of Backend.
+func (s *Where) SetBackend(val OptString) {
+	s.Backend = val
+}
+
+// Ref: #/components/schemas/WhereCandidate
+type WhereCandidate struct {
+	ID    string `json:"id"`
+	Zone  string `json:"zone"`
+	State string `json:"state"`
+	// Which flows of the bucket it has.
+	Reason string `json:"reason"`
+}
+
+// GetID returns the value of ID.
+func (s *WhereCandidate) GetID() string {
+	return s.ID
+}
+
+// GetZone returns the value of Zone.
+func (s *WhereCandidate) GetZone() string {
+	return s.Zone
+}
+
+// GetState returns the value of State.
+func (s *WhereCandidate) GetState() string {
+	return s.State
+}
+
+// GetReason returns the value of Reason.
+func (s *WhereCandidate) GetReason() string {
+	return s.Reason
+}
+
+// SetID sets the value of ID.
+func (s *WhereCandidate) SetID(val string) {
+	s.ID = val
+}
+
+// SetZone sets the value of Zone.
+func (s *WhereCandidate) SetZone(val string) {
+	s.Zone = val
+}
+
+// SetState sets the value of State.
+func (s *WhereCandidate) SetState(val string) {
+	s.State = val
+}
+
+// SetReason sets the value of Reason.
+func (s *WhereCandidate) SetReason(val string) {
+	s.Reason = val
+}
+
+// Ref: #/components/schemas/WhereHop
+type WhereHop struct {
+	Host   string    `json:"host"`
+	Action string    `json:"action"`
+	To     OptString `json:"to"`
+}
+
+// GetHost returns the value of Host.
+func (s *WhereHop) GetHost() string {
+	return s.Host
+}
+
+// GetAction returns the value of Action.
+func (s *WhereHop) GetAction() string {
+	return s.Action
+}
+
+// GetTo returns the value of To.
+func (s *WhereHop) GetTo() OptString {
+	return s.To
+}
+
+// SetHost sets the value of Host.
+func (s *WhereHop) SetHost(val string) {
+	s.Host = val
+}
+
+// SetAction sets the value of Action.
+func (s *WhereHop) SetAction(val string) {
+	s.Action = val
+}
+
+// SetTo sets the value of To.
+func (s *WhereHop) SetTo(val OptString) {
+	s.To = val
+}
+
+type WherePhase string
+
+const (
+	WherePhaseStable  WherePhase = "stable"
+	WherePhasePrepare WherePhase = "prepare"
+	WherePhaseMove    WherePhase = "move"
+	WherePhaseSettle  WherePhase = "settle"
+)
+
+// AllValues returns all WherePhase values.
+func (WherePhase) AllValues() []WherePhase {
+	return []WherePhase{
+		WherePhaseStable,
+		WherePhasePrepare,
+		WherePhaseMove,
+		WherePhaseSettle,
+	}
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (s WherePhase) MarshalText() ([]byte, error) {
+	switch s {
+	case WherePhaseStable:
+		return []byte(s), nil
+	case WherePhasePrepare:
+		return []byte(s), nil
+	case WherePhaseMove:
+		return []byte(s), nil
+	case WherePhaseSettle:
+		return []byte(s), nil
+	default:
+		return nil, errors.Errorf("invalid value: %q", s)
+	}
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (s *WherePhase) UnmarshalText(data []byte) error {
+	switch WherePhase(data) {
+	case WherePhaseStable:
+		*s = WherePhaseStable
+		return nil
+	case WherePhasePrepare:
+		*s = WherePhasePrepare
+		return nil
+	case WherePhaseMove:
+		*s = WherePhaseMove
+		return nil
+	case WherePhaseSettle:
+		*s = WherePhaseSettle
+		return nil
+	default:
+		return errors.Errorf("invalid value: %q", data)
+	}
+}
+
+type WhereProtocol string
+
+const (
+	WhereProtocolTCP WhereProtocol = "tcp"
+	WhereProtocolUDP WhereProtocol = "udp"
+)
+
+// AllValues returns all WhereProtocol values.
+func (WhereProtocol) AllValues() []WhereProtocol {
+	return []WhereProtocol{
+		WhereProtocolTCP,
+		WhereProtocolUDP,
+	}
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (s WhereProtocol) MarshalText() ([]byte, error) {
+	switch s {
+	case WhereProtocolTCP:
+		return []byte(s), nil
+	case WhereProtocolUDP:
+		return []byte(s), nil
+	default:
+		return nil, errors.Errorf("invalid value: %q", s)
+	}
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (s *WhereProtocol) UnmarshalText(data []byte) error {
+	switch WhereProtocol(data) {
+	case WhereProtocolTCP:
+		*s = WhereProtocolTCP
+		return nil
+	case WhereProtocolUDP:
+		*s = WhereProtocolUDP
+		return nil
+	default:
+		return errors.Errorf("invalid value: %q", data)
+	}
+}
+
 // Ref: #/components/schemas/Zone
 type Zone struct {
 	Name      string  `json:"name"`
--- a/internal/api/oas_server_gen.go
+++ b/internal/api/oas_server_gen.go
@@ -76,6 +76,12 @@
 	//
 	// POST /v1/changes
 	SubmitChange(ctx context.Context, req *ChangeRequest) (*ChangeResult, error)
+	// Where implements where operation.
+	//
+	// Where the opening packet of a new flow would go now, and why. Nothing is sent.
+	//
+	// GET /v1/where
+	Where(ctx context.Context, params WhereParams) (*Where, error)
 	// NewError creates *ErrorStatusCode from error returned by handler.
 	//
 	// Used for common default response.
--- a/internal/api/oas_unimplemented_gen.go
+++ b/internal/api/oas_unimplemented_gen.go
@@ -120,6 +120,15 @@
 	return r, ht.ErrNotImplemented
 }
 
+// Where implements where operation.
+//
+// Where the opening packet of a new flow would go now, and why. Nothing is sent.
+//
+// GET /v1/where
+func (UnimplementedHandler) Where(ctx context.Context, params WhereParams) (r *Where, _ error) {
+	return r, ht.ErrNotImplemented
+}
+
 // NewError creates *ErrorStatusCode from error returned by handler.
 //
 // Used for common default response.
--- a/internal/api/oas_validators_gen.go
+++ b/internal/api/oas_validators_gen.go
@@ -865,3 +865,74 @@
 	}
 	return nil
 }
+
+func (s *Where) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if err := s.Phase.Validate(); err != nil {
+			return err
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "phase",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if s.Candidates == nil {
+			return errors.New("nil is invalid value")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "candidates",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if s.Hops == nil {
+			return errors.New("nil is invalid value")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "hops",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
+func (s WherePhase) Validate() error {
+	switch s {
+	case "stable":
+		return nil
+	case "prepare":
+		return nil
+	case "move":
+		return nil
+	case "settle":
+		return nil
+	default:
+		return errors.Errorf("invalid value: %v", s)
+	}
+}
+
+func (s WhereProtocol) Validate() error {
+	switch s {
+	case "tcp":
+		return nil
+	case "udp":
+		return nil
+	default:
+		return errors.Errorf("invalid value: %v", s)
+	}
+}
--- a/internal/apiserver/apiserver_test.go
+++ b/internal/apiserver/apiserver_test.go
@@ -29,6 +29,13 @@
 		"changes":  func() error { _, err := s.ListChanges(ctx, api.ListChangesParams{}); return err },
 		"services": func() error { _, err := s.ListServices(ctx); return err },
 		"backends": func() error { _, err := s.ListBackends(ctx); return err },
+		"where": func() error {
+			_, err := s.Where(ctx, api.WhereParams{Caller: "100.64.0.1:1", Route: "198.18.0.1:443"})
+			if fault.KindOf(err) == fault.NotFound {
+				return nil // the state has no service
+			}
+			return err
+		},
 		"dry run": func() error {
 			_, err := s.SubmitChange(ctx, &api.ChangeRequest{ID: "x", DryRun: api.NewOptBool(true)})
 			return err
