Let quayctl where ask hosts of quayd run

Result: TestWhereByBucket: a host of quayd run names the backend server that announced itself, and the error for another protocol names the remedy.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -51,7 +51,7 @@
 	Load     loadCmd     `cmd:"" help:"Send requests to a small system on loopback and report outcomes and latency."`
 
 	Evacuations evacuationsCmd `cmd:"" help:"List, start and end evacuations of zones; --server is the metrics address of a control host of a deployment whose packets carry tokens."`
-	Where       whereCmd       `cmd:"" help:"Explain where a new flow would go now, without sending anything; --server is the metrics address of an entry host of a deployment whose packets carry tokens."`
+	Where       whereCmd       `cmd:"" help:"Explain where a new flow would go now, without sending anything; --server is the metrics address of an entry host of a deployment whose packets carry tokens, or with --buckets the API address of another host."`
 }
 
 // env holds the shared flags, the context and the output streams of a command.
--- a/internal/cli/where.go
+++ b/internal/cli/where.go
@@ -16,16 +16,25 @@
 // maxCandidates limits the backend servers that whereCmd lists without --all.
 const maxCandidates = 10
 
-// whereCmd talks to the metrics address of an entry host, given by --server.
+// whereCmd talks to the metrics address of an entry host, given by --server, or with
+// --buckets to the API address of a host of quayd run.
 type whereCmd struct {
 	Caller   string `help:"IP:port of the caller; needed with --route."`
 	Route    string `help:"IP:port of the route to which the flow opens." xor:"to" required:""`
 	Service  string `help:"Service of the flow, in place of a route." xor:"to" required:""`
 	Priority string `help:"Priority of the flow with --service; 0 is the highest." placeholder:"N"`
 	All      bool   `help:"List all backend servers of the service, not only the first 10."`
+	Buckets  bool   `help:"Ask a host of 'quayd run'; --server is then its API address."`
+	Protocol string `help:"Protocol of the flow, with --buckets." enum:"tcp,udp" default:"tcp"`
 }
 
 func (c *whereCmd) Run(e *env) error {
+	if c.Buckets {
+		if c.Service != "" || c.Priority != "" {
+			return fault.New(fault.Invalid, "give --caller and --route", "the bucket of a flow depends on its addresses")
+		}
+		return c.runBuckets(e)
+	}
 	query := url.Values{}
 	for name, value := range map[string]string{"caller": c.Caller, "route": c.Route, "service": c.Service, "priority": c.Priority} {
 		if value != "" {
@@ -61,11 +70,8 @@
 
 // printWhere writes all but the candidates.
 func printWhere(e *env, a *fleet.WhereAnswer) {
-	line := func(name, format string, args ...any) {
-		fmt.Fprintf(e.out, "%-12s %s\n", name, fmt.Sprintf(format, args...))
-	}
-	line("decision", "%s", strings.TrimSpace(a.Decision.Verdict+" "+a.Decision.Reason+" "+a.Decision.Backend))
-	line("host", "%s in zone %s, ready %t, document version %d, view %d ms old", a.Host, a.Zone, a.Ready, a.Version, a.ViewAgeMs)
+	e.printField("decision", "%s", strings.TrimSpace(a.Decision.Verdict+" "+a.Decision.Reason+" "+a.Decision.Backend))
+	e.printField("host", "%s in zone %s, ready %t, document version %d, view %d ms old", a.Host, a.Zone, a.Ready, a.Version, a.ViewAgeMs)
 	if r := a.Route; r != nil {
 		var services []string
 		for _, t := range r.Services {
@@ -75,19 +81,24 @@
 			}
 			services = append(services, fmt.Sprintf("%s weight %d%s", t.Service, t.Weight, mark))
 		}
-		line("route", "%s %s: %s", r.Name, r.Address, strings.Join(services, ", "))
+		e.printField("route", "%s %s: %s", r.Name, r.Address, strings.Join(services, ", "))
 	}
-	line("service", "%s, priority %d", a.Service, a.Priority)
+	e.printField("service", "%s, priority %d", a.Service, a.Priority)
 	var shares, refusals []string
 	for _, s := range a.ZoneShares {
 		shares = append(shares, fmt.Sprintf("%s %.2f", s.Zone, s.Share))
 	}
-	line("zone shares", "%s; this flow: %s", strings.Join(shares, ", "), a.PlanZone)
-	line("evacuated", "%s (revision %d)", listOrNone(a.Evacuations.Zones), a.Evacuations.Revision)
+	e.printField("zone shares", "%s; this flow: %s", strings.Join(shares, ", "), a.PlanZone)
+	e.printField("evacuated", "%s (revision %d)", listOrNone(a.Evacuations.Zones), a.Evacuations.Revision)
 	for _, r := range a.Refusals {
 		refusals = append(refusals, fmt.Sprintf("%d%% of priority %d", r.Percent, r.Priority))
 	}
-	line("refused", "%s", listOrNone(refusals))
+	e.printField("refused", "%s", listOrNone(refusals))
+}
+
+// printField writes one named value.
+func (e *env) printField(name, format string, args ...any) {
+	fmt.Fprintf(e.out, "%-12s %s\n", name, fmt.Sprintf(format, args...))
 }
 
 func listOrNone(list []string) string {
--- a/internal/cli/where_test.go
+++ b/internal/cli/where_test.go
@@ -1,15 +1,18 @@
 package cli
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"greengagequay/internal/api"
 	"greengagequay/internal/fault"
 	"greengagequay/internal/fleet"
 )
@@ -58,3 +61,33 @@
 	code, _, _ = run(s, "--caller", "1.2.3.4:5")
 	c.Assert(code, qt.Equals, exitUsage)
 }
+
+// Guards against an answer for hosts of quayd run that names no backend server, or
+// another one than the table has.
+func TestWhereByBucket(t *testing.T) {
+	c := qt.New(t)
+	server := startHost(t)
+	set := func(key, value string) {
+		code, _, errOut := quayctl(server, "settings", "set", "/pantanir", key, value)
+		c.Assert(code, qt.Equals, exitOK, qt.Commentf("%s", errOut))
+	}
+	set("service.zones", `["rvk-a"]`)
+	set("service.addresses", `["203.0.113.10:443/tcp"]`)
+	where := []string{"where", "--buckets", "--caller", "100.64.0.1:40000", "--route", "203.0.113.10:443"}
+	code, out, errOut := quayctl(server, where...)
+	for code != exitOK || strings.Contains(out, "no_backend") { // until the placement has the backend server
+		_, err := callAPI(&env{Globals: Globals{Server: server, Timeout: time.Minute}, ctx: t.Context()}, func(client *api.Client, ctx context.Context) (*api.AnnouncementResult, error) {
+			return client.Announce(ctx, &api.Announcement{
+				ID: "pantanir-1", Service: "pantanir", Zone: "rvk-a", State: api.AnnouncementStateReady, Incarnation: 1,
+				PacketAddress: api.NewOptString("127.0.0.1:9"), RequestAddress: api.NewOptString("127.0.0.1:9"),
+			})
+		})
+		c.Assert(err, qt.IsNil)
+		time.Sleep(10 * time.Millisecond)
+		code, out, errOut = quayctl(server, where...)
+	}
+	c.Assert(out, qt.Matches, `(?s)decision +forward +pantanir-1\n.*bucket .* of service pantanir, phase stable.*\n1 +pantanir-1 .*has all flows\n`, qt.Commentf("%s", errOut))
+	code, _, errOut = quayctl(server, append(where, "--protocol", "udp")...)
+	c.Assert(code, qt.Equals, exitFailure)
+	c.Assert(errOut, qt.Matches, `(?s).*no service has the address udp 203.0.113.10:443.*remedy: .*`)
+}
