--- a/internal/fleet/controllinks_test.go
+++ b/internal/fleet/controllinks_test.go
@@ -55,7 +55,7 @@
 			entry := &EntryHost{cfg: Config{Name: name, Zone: fmt.Sprint(i % controlHosts)}, controlHosts: hosts}
 			go func() {
 				for time.Since(start) < limit {
-					hosts.setWarm(sink.arrived() > 0)
+					hosts.updateWarm(func() bool { return sink.arrived() > 0 })
 					hosts.reconcile(entry.selectControlHosts)
 					select {
 					case <-time.After(coldTick):
--- a/internal/steering/zoneplan.go
+++ b/internal/steering/zoneplan.go
@@ -81,10 +81,10 @@
 }
 
 func (s *Steerer) firstSum() float64 {
-	if s.cfg.Random == nil {
+	if s.random == nil {
 		return 0
 	}
-	return s.cfg.Random.Float64()
+	return s.random.Float64()
 }
 
 // refuses reports whether the next new flow of a service and priority is refused since
