Drop copies of opening packets that cannot be placed, unless the original was here

Cause: an entry host that could not place a copy of an opening packet refused it with a reset, although another entry host may have placed the original. Change: a copy is refused only if this host has seen the original: it placed it before, or the copy took its place among the held packets. Otherwise it is dropped, for all reasons (cold, overload, evacuated, no server, no route). The cost is that a caller whose original was lost waits for its next copy or attempt instead of being refused at once. Result: TestCopyOfAnUnseenOpeningIsNotRefused fails without the change ("refuse cold"); tests of steering, holding and conntrack pass, holding also with -race. The model of TestAgainstModel knows the new field.

--- a/internal/holding/holding.go
+++ b/internal/holding/holding.go
@@ -117,8 +117,12 @@
 	earlier := q.bySlot[s]
 	if earlier != nil && now < earlier.expiresAt && isOlder(&p, &earlier.Packet) {
 		q.counts.Repeated++
+		earlier.SeenFirst = earlier.SeenFirst || p.Opening && p.Copy == 0 && earlier.Copy > 0
 		return
 	}
+	if earlier != nil && p.Opening && p.Copy > 0 {
+		p.SeenFirst = earlier.SeenFirst || earlier.Copy == 0
+	}
 	if !p.Opening {
 		q.discardOpening(p.Flow())
 	}
--- a/internal/holding/holding_test.go
+++ b/internal/holding/holding_test.go
@@ -42,7 +42,13 @@
 	q.Offer(1*ms, openingCopy(2, 0), nil)
 	q.Offer(200*ms, openingCopy(1, 1), nil)
 	q.Offer(201*ms, openingCopy(1, 0), nil) // overtaken on the way
-	c.Assert(slices.Equal(drain(q, 300*ms), []steering.Packet{openingCopy(1, 1), openingCopy(2, 0)}), qt.IsTrue)
+	replaced := openingCopy(1, 1)
+	replaced.SeenFirst = true
+	c.Assert(slices.Equal(drain(q, 300*ms), []steering.Packet{replaced, openingCopy(2, 0)}), qt.IsTrue)
+
+	q.Offer(0, openingCopy(5, 1), nil) // the original went to another host
+	q.Offer(200*ms, openingCopy(5, 2), nil)
+	c.Assert(slices.Equal(drain(q, 300*ms), []steering.Packet{openingCopy(5, 2)}), qt.IsTrue)
 
 	q.Offer(0, openingCopy(3, 0), nil)
 	later := packet(3)
@@ -147,9 +153,11 @@
 			fresh := entry{p, now + ageLimit(&p)}
 			for i, e := range model {
 				if isSame(e) {
+					seen := p.Opening && (p.Copy == 0 || e.packet.Copy == 0 || e.packet.SeenFirst)
 					if !isOlder(&p, &e.packet) {
 						model[i] = fresh
 					}
+					model[i].packet.SeenFirst = seen && model[i].packet.Copy > 0
 					fresh.expires = 0
 				}
 			}
--- a/internal/steering/cold_test.go
+++ b/internal/steering/cold_test.go
@@ -179,3 +179,23 @@
 		qt.Assert(t, describe(s.Decide(time.Duration(1+at)*time.Second, syn(at, orders, 0))), qt.Equals, want)
 	}
 }
+
+// TestCopyOfAnUnseenOpeningIsNotRefused guards against a reset of a flow that another entry
+// host has placed: its caller sent a copy before the answer arrived.
+func TestCopyOfAnUnseenOpeningIsNotRefused(t *testing.T) {
+	s := New(Config{Zone: "a", Host: "h", ColdBound: coldBound})
+	cold := backend("x1", "orders", "a", catalog.Ready)
+	cold.Admission = &warmup.Admission{Hosts: []string{"other"}, Each: 1}
+	s.SetTable(0, Build(coldDocument(), []catalog.Record{cold}))
+	s.SetWarmupAfter(time.Second, "a")
+	held := syn(3, orders, 1)
+	held.SeenFirst = true
+	for _, x := range []struct {
+		p    Packet
+		want string
+	}{
+		{syn(1, orders, 0), "refuse cold"}, {syn(2, orders, 1), "drop cold"}, {syn(2, orders, 2), "drop cold"}, {held, "refuse cold"},
+	} {
+		qt.Assert(t, describe(s.Decide(time.Second, x.p)), qt.Equals, x.want)
+	}
+}
--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -18,8 +18,10 @@
 	Copy    uint32         // of an opening packet: 0 for the original, n for the nth retransmission
 	Reset   bool           // whether the caller resets the flow
 	Fin     bool           // whether the caller sends nothing after this packet
-	Ack     uint32         // number of the next byte that the caller expects; meaningless in an opening packet
-	Token   Token
+	// SeenFirst is whether the original of a copy waited at this host and was not placed.
+	SeenFirst bool
+	Ack       uint32 // number of the next byte that the caller expects; meaningless in an opening packet
+	Token     Token
 	// Sequence is the number of the first data byte in the packet, Data the
 	// number of data bytes.
 	Sequence uint32
@@ -211,7 +213,7 @@
 	}
 	route := s.table.routes[p.Route]
 	if route == nil {
-		return Decision{Verdict: Refuse, Reason: NoRoute}
+		return refuse(p, opening{}, Decision{Reason: NoRoute})
 	}
 	flow := p.Flow()
 	before := s.openings[flow.key()]
@@ -231,13 +233,13 @@
 		d.Reason, d.Unanswered = PlacedAgain, s.recordUnanswered(now, before.server)
 		d.Server = s.choose(now, s.table.services[d.Service], before.tried)
 	case s.plan.refuses(d.Service, route.Priority):
-		return Decision{Verdict: Refuse, Reason: Overload, Service: d.Service}
+		return refuse(p, before, Decision{Reason: Overload, Service: d.Service})
 	default:
 		before.firstAt = now
 		d.Server = s.chooseByPlan(now, d.Service)
 	}
 	if d.Server == nil {
-		return Decision{Verdict: Refuse, Reason: s.refusal(now, d.Service), Service: d.Service, Unanswered: d.Unanswered}
+		return refuse(p, before, Decision{Reason: s.refusal(now, d.Service), Service: d.Service, Unanswered: d.Unanswered})
 	}
 	s.cold.recordPlaced(now, d.Server)
 	s.lastUsed[d.Server.ID] = now
@@ -245,6 +247,17 @@
 	return d
 }
 
+// refuse completes the decision about an opening packet that cannot be placed. A copy
+// whose original this host has not seen is dropped: another entry host may have placed the
+// original, and a reset would end that flow.
+func refuse(p Packet, before opening, d Decision) Decision {
+	d.Verdict = Refuse
+	if p.Copy > 0 && !p.SeenFirst && before.server == nil {
+		d.Verdict = Drop
+	}
+	return d
+}
+
 // recordUnanswered records that a backend server left an opening packet
 // unanswered. It returns the backend server if that should be reported to other
 // hosts, else nil.
