Soak: cold backend servers, shares by answers, and resets of idle flows

Cause: the soak ran its hosts without the contract "health" and without a bound for cold backend servers. Its callers acknowledged nothing, so that entry hosts saw no answers, and kept no flow open without a request. Change: - Hosts get the contracts "places" and "health", coldOverage 1.5, coldSlack 5. - Callers acknowledge answers, end flows, and leave some idle for up to 4 s. Four more loops of each caller open flows of one request. Without these too few flows open to exceed the bound for cold backend servers. - Backend servers are cold for 2 s after a start and from the order that ends the evacuation of their zone. More than 5 new flows in a second are a violation; docs/design/cold-servers.md lists the exceptions. - New faults: slow, failing, refusing and restarting backend servers. The soak counts resets by entry hosts.

--- a/internal/soak/backends.go
+++ b/internal/soak/backends.go
@@ -51,13 +51,16 @@
 	unresponsive bool      // it neither announces itself nor handles packets
 	drainAck     time.Time // when a control host first acknowledged its drain
 	ended        bool
+	answering    answering
+	opened       int // number of flows that were opened
+	warmth       warmth
 }
 
 func (s *soak) newBackends() (*backends, error) {
 	f := &backends{incarnation: 1_700_000_000_000}
 	for service := range services {
 		for n := range backendsPerService {
-			if err := s.addBackend(f, service, n%zoneCount); err != nil {
+			if err := s.addBackend(f, service, n%zoneCount, uint64(rand.Uint32())); err != nil {
 				return f, err
 			}
 		}
@@ -65,19 +68,19 @@
 	return f, nil
 }
 
-// addBackend starts a backend server.
-func (s *soak) addBackend(f *backends, service, zone int) error {
+// addBackend starts a backend server. number is the number in its id.
+func (s *soak) addBackend(f *backends, service, zone int, number uint64) error {
 	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		return fmt.Errorf("start backend server: %w", err)
 	}
 	f.mu.Lock()
 	f.incarnation++
-	number := uint64(rand.Uint32())
 	b := &backend{
 		soak: s, id: fmt.Sprintf("i-%x", number), number: number, service: service, zone: zone, incarnation: f.incarnation, conn: conn,
 		flows: map[flowKey]bool{},
 	}
+	b.warmth.begin(time.Now())
 	f.alive = append(f.alive, b)
 	f.mu.Unlock()
 	context.AfterFunc(s.ctx, func() { _ = conn.Close() })
@@ -147,6 +150,7 @@
 		if b.draining {
 			announcement.State = "draining"
 		}
+		announcement.WarmMs = int(b.warmth.left(time.Now()).Milliseconds())
 		unresponsive, ended := b.unresponsive, b.ended
 		b.mu.Unlock()
 		if ended {
@@ -155,6 +159,7 @@
 		if !unresponsive {
 			status, _ := b.soak.call(b.soak.control(rng), http.MethodPost, standin.HeartbeatPath(b.id), standin.Encode(announcement))
 			b.recordDrainAck(announcement, status)
+			b.recordColdAck(announcement, status)
 		}
 		if !b.soak.sleep(heartbeatInterval) {
 			return
@@ -176,7 +181,7 @@
 func (b *backend) serve() {
 	buf := make([]byte, 2048)
 	for {
-		n, err := b.conn.Read(buf)
+		n, from, err := b.conn.ReadFromUDPAddrPort(buf)
 		if err != nil {
 			return // the socket is closed
 		}
@@ -190,55 +195,72 @@
 			b.soak.checks.addViolation("backend %s: %v", b.id, err)
 			continue
 		}
+		p.Data = append([]byte(nil), p.Data...)
 		b.mu.Lock()
 		unresponsive := b.unresponsive
 		b.mu.Unlock()
 		if !unresponsive && target == b.number {
-			b.handle(p)
+			b.handle(p, from.Addr())
 		}
 	}
 }
 
 // handle checks and answers a packet. A packet of a flow that belongs to another,
 // healthy backend server is a violation. A packet of any other unknown flow gets a
-// reset.
-func (b *backend) handle(p standin.Packet) {
+// reset. entry is the address of the entry host that sent the packet.
+func (b *backend) handle(p standin.Packet, entry netip.Addr) {
 	if sum(p) != p.Sum {
 		b.soak.checks.addViolation("backend %s got a packet with a wrong checksum", b.id)
 		return
 	}
 	if p.Flags&standin.SYN != 0 {
-		b.openFlow(p)
+		b.openFlow(p, entry)
 		return
 	}
 	b.mu.Lock()
 	known := b.flows[keyOf(p)]
+	if p.Flags&standin.FIN != 0 {
+		delete(b.flows, keyOf(p))
+	}
+	answering, cold := b.answering, b.warmth.left(time.Now()) > 0
 	b.mu.Unlock()
 	if owner := b.soak.checks.owner(keyOf(p)); owner != nil && owner != b && owner.healthy() {
 		b.soak.checks.addViolation("a packet of a flow of backend %s reached backend %s", owner.id, b.id)
 		return
 	}
-	flags := byte(standin.ACK)
-	if !known {
-		flags = standin.RST
+	switch {
+	case !known:
+		b.answer(p, standin.RST, nil)
+	case len(p.Data) > 0:
+		data := answerTo(p.Data, answering == errorAnswers)
+		time.AfterFunc(answering.latency(cold), func() { b.answer(p, standin.ACK, data) })
 	}
-	b.answer(p, flags, p.Data)
 }
 
-// openFlow accepts a new flow.
-func (b *backend) openFlow(p standin.Packet) {
+// openFlow accepts a new flow, or refuses it.
+func (b *backend) openFlow(p standin.Packet, entry netip.Addr) {
 	if p.To != b.soak.layout.serviceAddr(b.service) {
 		b.soak.checks.addViolation("a new flow to %v reached backend %s of service %s", p.To, b.id, services[b.service])
 	}
 	b.mu.Lock()
 	late := !b.drainAck.IsZero() && time.Since(b.drainAck) > drainBound
 	since := b.drainAck
-	b.flows[keyOf(p)] = true
+	known := b.flows[keyOf(p)]
+	refuses := b.answering == refusedConnections && !known
+	if !known {
+		b.opened++
+		b.checkCold(time.Now(), entry)
+	}
+	b.flows[keyOf(p)] = !refuses
 	b.mu.Unlock()
 	if late && b.soak.checks.settledBefore(since) {
 		b.soak.checks.addViolation("backend %s got a new flow %v after the acknowledgement of its drain", b.id, time.Since(since))
 	}
 	b.soak.checks.flowInZone(b.zone, b.id)
+	if refuses {
+		b.answer(p, standin.RST, nil)
+		return
+	}
 	b.answer(p, standin.SYN|standin.ACK, nil)
 }
 
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bytes"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -19,6 +20,8 @@
 	requestTries    = 8                      // packets of one request
 	requestInterval = 50 * time.Millisecond  // pause between two requests, and between two flows
 	flowRequests    = 40                     // maximum number of requests of one flow
+	idleShare       = 8                      // one request in this many is followed by an idle time
+	longestIdle     = 4 * time.Second
 )
 
 // caller opens flows from one address.
@@ -70,8 +73,8 @@
 	}
 }
 
-// runFlows runs flows one after the other.
-func (c *caller) runFlows() {
+// runFlows runs flows of up to a number of requests one after the other.
+func (c *caller) runFlows(requests int) {
 	rng := rand.New(rand.NewPCG(c.soak.Seed, rand.Uint64()))
 	for c.soak.sleep(requestInterval) {
 		c.mu.Lock()
@@ -85,7 +88,7 @@
 		}
 		c.inboxes[f.from.Port()] = f.inbox
 		c.mu.Unlock()
-		f.run()
+		f.run(requests)
 		c.soak.checks.flowEnded(flowKey{f.from, f.to()})
 		c.mu.Lock()
 		delete(c.inboxes, f.from.Port())
@@ -103,22 +106,39 @@
 	token         uint32
 	backendNumber uint32 // low 32 bits of the backend server's number
 	entry         *process
+	sent          uint32 // sequence number after the data sent
+	received      uint32 // sequence number after the data received
 }
 
 func (f *callerFlow) to() netip.AddrPort { return f.caller.soak.layout.serviceAddr(f.service) }
 
-func (f *callerFlow) run() {
+func (f *callerFlow) run(requests int) {
 	if !f.open() {
 		return
 	}
-	for n := range 1 + f.rng.IntN(flowRequests) {
-		if !f.request(uint32(n + 1)) {
+	for range 1 + f.rng.IntN(requests) {
+		if !f.request() {
 			return
 		}
-		if !f.caller.soak.sleep(requestInterval) {
+		pause := requestInterval
+		if requests > 1 && f.rng.IntN(idleShare) == 0 {
+			pause = time.Duration(f.rng.Int64N(int64(longestIdle)))
+		}
+		if !f.idle(pause) {
 			return
 		}
 	}
+	f.send(standin.Packet{Token: f.token, Sequence: f.sent, Ack: f.received, Flags: standin.ACK | standin.FIN})
+}
+
+// idle keeps the flow open without a request. It returns false if the flow is reset
+// meanwhile or the run ends.
+func (f *callerFlow) idle(d time.Duration) bool {
+	p, ok := f.awaitFor(d, func(p standin.Packet) bool { return p.Flags&standin.RST != 0 })
+	if ok {
+		f.checkReset(p)
+	}
+	return !ok && f.caller.soak.ctx.Err() == nil
 }
 
 // send sends a packet to the same entry host as before while that host is ready,
@@ -166,30 +186,40 @@
 
 // request sends a request until it is answered, and reports whether the flow can
 // continue.
-func (f *callerFlow) request(n uint32) bool {
-	data := fmt.Sprintf("X-Request-Id: %v-%d\r\n", f.from, n)
+func (f *callerFlow) request() bool {
+	data := fmt.Appendf(nil, "X-Request-Id: %v-%d\r\n", f.from, f.sent)
 	for range requestTries {
-		f.send(standin.Packet{Token: f.token, Sequence: n, Flags: standin.ACK, Data: []byte(data)})
-		p, ok := f.await(func(p standin.Packet) bool { return p.Flags&standin.RST != 0 || p.Ack == n && p.Flags == standin.ACK })
+		f.send(standin.Packet{Token: f.token, Sequence: f.sent, Ack: f.received, Flags: standin.ACK, Data: data})
+		p, ok := f.await(func(p standin.Packet) bool {
+			return p.Flags&standin.RST != 0 || p.Ack == f.sent && p.Flags == standin.ACK && len(p.Data) > 0
+		})
 		switch {
 		case !ok:
 			continue
 		case p.Flags&standin.RST != 0:
 			f.checkReset(p)
 			return false
-		case string(p.Data) != data:
+		}
+		failed := bytes.Equal(p.Data, answerTo(data, true))
+		if !failed && !bytes.Equal(p.Data, answerTo(data, false)) {
 			f.caller.soak.checks.addViolation("request %q got the answer %q", data, p.Data)
 		}
-		f.caller.soak.checks.requestEnded(true)
+		f.caller.soak.checks.requestAnswered(failed)
+		f.sent += uint32(len(data))
+		f.received += uint32(len(p.Data))
+		f.send(standin.Packet{Token: f.token, Sequence: f.sent, Ack: f.received, Flags: standin.ACK})
 		return true
 	}
-	f.caller.soak.checks.requestEnded(false)
+	f.caller.soak.checks.requestLost()
 	return false
 }
 
 // checkReset checks a reset of an open flow. A reset by a backend server has a
 // checksum, one by an entry host has none.
 func (f *callerFlow) checkReset(p standin.Packet) {
+	if p.Sum == 0 {
+		f.caller.soak.checks.flowReset()
+	}
 	owner := f.caller.soak.checks.owner(flowKey{f.from, f.to()})
 	if p.Sum == 0 && owner != nil && owner.healthy() {
 		f.caller.soak.checks.addViolation("the flow of %v was reset by an entry host although its backend %s is healthy", f.from, owner.id)
@@ -199,7 +229,11 @@
 // await returns the next answer for which wanted returns true. It fails if none
 // arrives within resendInterval, or if the run ends.
 func (f *callerFlow) await(wanted func(standin.Packet) bool) (standin.Packet, bool) {
-	timeout := time.After(resendInterval)
+	return f.awaitFor(resendInterval, wanted)
+}
+
+func (f *callerFlow) awaitFor(d time.Duration, wanted func(standin.Packet) bool) (standin.Packet, bool) {
+	timeout := time.After(d)
 	for {
 		select {
 		case p := <-f.inbox:
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -132,12 +132,30 @@
 	return c.owners[k]
 }
 
-func (c *checks) requestEnded(answered bool) {
+// requestAnswered records an answer. failed is whether it reports an error.
+func (c *checks) requestAnswered(failed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if answered {
-		c.seen.Answered++
-		return
+	c.seen.Answered++
+	if failed {
+		c.seen.Errors++
 	}
+}
+
+func (c *checks) requestLost() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.seen.Lost++
 }
+
+func (c *checks) openedCold() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seen.Cold++
+}
+
+func (c *checks) flowReset() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seen.Resets++
+}
--- a/internal/soak/evacuations.go
+++ b/internal/soak/evacuations.go
@@ -114,7 +114,11 @@
 	if start {
 		path = standin.StartEvacuationPath(zoneName(zone))
 	}
+	since, evacuated := s.checks.evacuated()[zone]
 	s.checks.orderSending(zone, start)
+	if !start {
+		s.fleet.coolZone(zone, evacuated && time.Since(since) > evacuateBound)
+	}
 	for {
 		host := s.control(rng)
 		switch status, body := s.call(host, http.MethodPost, path, nil); status {
@@ -141,17 +145,20 @@
 	}
 }
 
-// checkEvacuations checks, after the faults, that the control hosts know the evacuated
-// zones, that no flow opens there, and that none does after a restart of all entry
-// hosts. Flows that open are checked when they do, in flowInZone.
-func (s *soak) checkEvacuations() {
+// endOrders waits, after the faults, until the operator sends no further orders.
+func (s *soak) endOrders() {
 	close(s.stopOrders)
 	select {
 	case <-s.ordersEnded:
 	case <-time.After(recoveryBound):
 		s.checks.addViolation("an order about a zone was not accepted within %v after the faults", recoveryBound)
-		return
 	}
+}
+
+// checkEvacuations checks, after the faults, that the control hosts know the evacuated
+// zones, that no flow opens there, and that none does after a restart of all entry
+// hosts. Flows that open are checked when they do, in flowInZone.
+func (s *soak) checkEvacuations() {
 	if len(s.checks.evacuated()) == 0 && !s.order(rand.New(rand.NewPCG(s.Seed, 3)), 0, true) {
 		return
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -44,6 +44,10 @@
 	{"crash backend", crashBackend},
 	{"drain backend", drainBackend},
 	{"spare joins", startSpareControl},
+	{"slow backend", setBackend(slowAnswers)},
+	{"failing backend", setBackend(errorAnswers)},
+	{"refusing backend", setBackend(refusedConnections)},
+	{"restart backend", restartBackend},
 }
 
 // injectFaults injects random faults for the configured length, and then waits
@@ -199,7 +203,7 @@
 	if s.ctx.Err() != nil {
 		return
 	}
-	if err := s.addBackend(s.fleet, b.service, b.zone); err != nil {
+	if err := s.addBackend(s.fleet, b.service, b.zone, uint64(rand.Uint32())); err != nil {
 		s.checks.addViolation("%v", err)
 	}
 	s.fleet.remove(b)
@@ -217,11 +221,44 @@
 	return b.id, func() {
 		s.replaceBackend(b)
 		s.sleep(drainedServeTime)
+		b.beginLeave()
 		_, _ = s.call(host, http.MethodPost, standin.LeavePath(b.id), nil) // it ends even if the call fails
 		b.end()
 	}
 }
 
+// restartBackend ends a backend server. At the end of the fault it starts again with the
+// same id and another address, without its flows.
+func restartBackend(s *soak, rng *rand.Rand) (string, func()) {
+	b := s.fleet.pick(rng)
+	b.mu.Lock()
+	ended := b.ended || b.draining
+	b.mu.Unlock()
+	if ended || len(s.fleet.openedByBackend()) == 1 {
+		return "", nil // another fault replaces it, or none would be left to pick
+	}
+	s.fleet.remove(b) // no other fault may replace it
+	b.end()
+	return b.id, func() {
+		if s.ctx.Err() != nil {
+			return
+		}
+		if err := s.addBackend(s.fleet, b.service, b.zone, b.number); err != nil {
+			s.checks.addViolation("%v", err)
+		}
+	}
+}
+
+// setBackend returns the start of a fault in which a backend server answers in the given
+// way.
+func setBackend(a answering) func(*soak, *rand.Rand) (string, func()) {
+	return func(s *soak, rng *rand.Rand) (string, func()) {
+		b := s.fleet.pick(rng)
+		b.setAnswering(a)
+		return b.id, func() { b.setAnswering(usualAnswers) }
+	}
+}
+
 func startSpareControl(s *soak, _ *rand.Rand) (string, func()) {
 	p := s.controls[controlHosts]
 	p.restart()
--- a/internal/soak/network.go
+++ b/internal/soak/network.go
@@ -35,6 +35,7 @@
 // link proxies the connections that one host opens to another.
 type link struct {
 	mode      atomic.Int32
+	changedAt atomic.Int64 // when the mode was last set, in Unix nanoseconds
 	listeners []net.Listener
 	mu        sync.Mutex
 	conns     map[net.Conn]struct{}
@@ -137,7 +138,9 @@
 
 // set changes the mode. The mode refused also resets the open connections.
 func (k *link) set(m mode) {
-	k.mode.Store(int32(m))
+	if k.mode.Swap(int32(m)) != int32(m) {
+		k.changedAt.Store(time.Now().UnixNano())
+	}
 	if m != refused {
 		return
 	}
--- a/internal/soak/operators.go
+++ b/internal/soak/operators.go
@@ -33,7 +33,7 @@
 		lastVersion.Store(version)
 		d := standin.Document{Version: version, Note: fmt.Sprintf("note-%d", rng.Uint64())}
 		for i, name := range services {
-			d.Services = append(d.Services, standin.Service{Name: name})
+			d.Services = append(d.Services, standin.Service{Name: name, WarmupS: warmup.Seconds()})
 			d.Routes = append(d.Routes, standin.RouteTo(name, s.layout.serviceAddr(i)))
 		}
 		s.checks.documentSending(version, d.Note)
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -20,20 +20,24 @@
 const (
 	heartbeatInterval = 300 * time.Millisecond // used by the hosts and by the stand-in backend servers
 	shutdownGrace     = 2 * time.Second
+	coldOverage       = 1.5
+	coldSlack         = 5 // new flows a second of a cold backend server, since warmupPerS is 0
 )
 
 // process is one host of the deployment and the quayd process that runs it.
 type process struct {
-	soak    *soak
-	name    string
-	number  int
-	control bool
-	mu      sync.Mutex
-	cmd     *exec.Cmd     // nil before the first start, and after a fault has ended the process
-	exited  chan struct{} // closed when the process has ended
-	ready   bool          // whether its last readiness check passed
-	paused  bool
-	pauses  int // how often it has been paused
+	soak        *soak
+	name        string
+	number      int
+	control     bool
+	mu          sync.Mutex
+	cmd         *exec.Cmd     // nil before the first start, and after a fault has ended the process
+	exited      chan struct{} // closed when the process has ended
+	ready       bool          // whether its last readiness check passed
+	paused      bool
+	pauses      int // how often it has been paused
+	startedAt   time.Time
+	disturbedAt time.Time // when it was last started, ended, paused or resumed
 }
 
 func (s *soak) newProcess(number int, control bool) *process {
@@ -57,7 +61,7 @@
 		Metrics: l.addr(p.number, portMetrics), Internal: []int{l.base + portFeed, l.base + portLog},
 		FirstStart: first, HeartbeatMs: int(heartbeatInterval.Milliseconds()), TolerateLoss: 1,
 		DrainMs: int(drainBound.Milliseconds()), GraceS: shutdownGrace.Seconds(), Via: map[string]string{},
-		Contracts: []string{"places"}, Zones: map[string]string{},
+		Contracts: []string{"places", "health"}, Zones: map[string]string{}, ColdOverage: coldOverage, ColdSlack: coldSlack,
 	}
 	for zone := range zoneCount {
 		c.Zones[zoneName(zone)] = "region-0"
@@ -79,6 +83,21 @@
 	return c
 }
 
+// startedSince reports whether the process was started after the given time.
+func (p *process) startedSince(at time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.startedAt.After(at)
+}
+
+// disturbedSince reports whether the process was started, ended, paused or resumed
+// after the given time.
+func (p *process) disturbedSince(at time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.disturbedAt.After(at)
+}
+
 // start starts the process unless it runs already. first is true when the whole
 // deployment starts for the first time.
 func (p *process) start(first bool) error {
@@ -105,7 +124,8 @@
 		return fmt.Errorf("start %s: %w", p.name, err)
 	}
 	exited := make(chan struct{})
-	p.cmd, p.exited, p.paused = cmd, exited, false
+	p.cmd, p.exited, p.paused, p.startedAt = cmd, exited, false, time.Now()
+	p.disturbedAt = p.startedAt
 	go func() {
 		_ = cmd.Wait() // the log of the process shows why it ended
 		close(exited)
@@ -139,6 +159,7 @@
 		return
 	}
 	_ = p.cmd.Process.Signal(s) // fails if the process has ended
+	p.disturbedAt = time.Now()
 	switch s {
 	case syscall.SIGSTOP:
 		p.paused = true
@@ -159,6 +180,7 @@
 func (p *process) endWith(s syscall.Signal) {
 	p.mu.Lock()
 	cmd, exited, paused, pauses := p.cmd, p.exited, p.paused, p.pauses
+	p.disturbedAt = time.Now()
 	p.mu.Unlock()
 	if cmd == nil {
 		return
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -29,6 +29,7 @@
 	entryHosts         = 3
 	callers            = 3
 	concurrentFlows    = 4 // flows that each caller keeps open
+	shortFlows         = 4 // flows of one request that each caller has at a time besides; without them too few flows open to exceed the bound for cold backend servers
 	backendsPerService = 3 // backend servers of each service
 )
 
@@ -48,13 +49,16 @@
 	Opened     int // flows that were opened
 	Answered   int // requests that were answered
 	Lost       int // requests that were not answered
+	Errors     int // requests that were answered with an error
+	Cold       int // flows that were opened with cold backend servers
+	Resets     int // open flows that an entry host reset
 	Orders     int // orders about zones that a control host accepted
 }
 
 // String returns a summary of the report in one line.
 func (r Report) String() string {
-	return fmt.Sprintf("%d faults, %d documents accepted, %d orders accepted, %d reads, %d flows, %d requests answered, %d lost, %d violations",
-		r.Faults, r.Accepted, r.Orders, r.Reads, r.Opened, r.Answered, r.Lost, len(r.Violations))
+	return fmt.Sprintf("%d faults, %d documents accepted, %d orders accepted, %d reads, %d flows, %d with cold backend servers, %d reset, %d requests answered, %d with an error, %d lost, %d violations",
+		r.Faults, r.Accepted, r.Orders, r.Reads, r.Opened, r.Cold, r.Resets, r.Answered, r.Errors, r.Lost, len(r.Violations))
 }
 
 // soak holds the state of one run.
@@ -96,6 +100,8 @@
 	s.injectFaults(rand.New(rand.NewPCG(cfg.Seed, 0)))
 	s.heal()
 	s.awaitRecovery()
+	s.endOrders()
+	s.checkReturn()
 	s.checkEvacuations()
 	s.cancel()
 	s.tasks.Wait()
@@ -135,7 +141,10 @@
 			return err
 		}
 		for range concurrentFlows {
-			s.tasks.Go(c.runFlows)
+			s.tasks.Go(func() { c.runFlows(flowRequests) })
+		}
+		for range shortFlows {
+			s.tasks.Go(func() { c.runFlows(1) })
 		}
 	}
 	return s.awaitFirstAnswer()
