Save no backend servers to the hint file before the first document

Cause: at the first start of a deployment control hosts accept announcements of all services until the first document, which marks those of unknown services as gone. The hint file could be written in between. Change: the hint file is due only while the host has a document. Result: TestNoHintBeforeTheFirstDocument fails without the check. The tests of hints, announcements, invitations and recovery in internal/fleet pass.

--- a/internal/fleet/controlfeed.go
+++ b/internal/fleet/controlfeed.go
@@ -234,7 +234,7 @@
 	h.current = current
 	var records []catalog.Record
 	revision := h.catalog.Revision()
-	hintDue := h.hint.due(revision)
+	hintDue := h.isHintDue(revision)
 	if hintDue {
 		records = h.catalog.Since(0, "")
 	}
--- a/internal/fleet/hint.go
+++ b/internal/fleet/hint.go
@@ -91,6 +91,13 @@
 	})
 }
 
+// isHintDue reports whether the known backend servers should be saved now. Without a
+// document they may be of services that do not exist, which the first document of the
+// deployment removes; a host that restarts would not remove them. The caller holds mu.
+func (h *ControlHost) isHintDue(revision uint64) bool {
+	return h.services != nil && h.hint.due(revision)
+}
+
 // loadHint adds the records of the hint file to the catalog.
 func (h *ControlHost) loadHint() {
 	records, err := h.hint.load()
--- a/internal/fleet/hint_test.go
+++ b/internal/fleet/hint_test.go
@@ -52,3 +52,12 @@
 	c.Assert(got, qt.HasLen, len(records))
 	c.Assert(got[0].ID, qt.Equals, "i-\xff")
 }
+
+// Guards against a control host that restarts with a backend server of an unknown service,
+// announced before the first document: it took the address of one that runs.
+func TestNoHintBeforeTheFirstDocument(t *testing.T) {
+	h := &ControlHost{hint: newHintFile[catalog.Record](fullDisk{}, backendsHintName, nil)}
+	qt.Assert(t, h.isHintDue(1), qt.IsFalse)
+	h.services = map[string]bool{"orders": true}
+	qt.Assert(t, h.isHintDue(1), qt.IsTrue)
+}
