--- a/internal/holding/holding.go
+++ b/internal/holding/holding.go
@@ -114,13 +114,17 @@
 // its slot. A packet that replaces an earlier one takes its place in the order.
 func (q *Queue) Offer(now time.Duration, p steering.Packet, datagram []byte) {
 	s := slotOf(&p)
+	if !p.Opening {
+		q.discardOpening(p.Flow())
+	}
 	earlier := q.bySlot[s]
 	if earlier != nil && now < earlier.expiresAt && isOlder(&p, &earlier.Packet) {
 		q.counts.Repeated++
+		earlier.SeenFirst = earlier.SeenFirst || p.Opening && p.Copy == 0 && earlier.Copy > 0
 		return
 	}
-	if !p.Opening {
-		q.discardOpening(p.Flow())
+	if earlier != nil && p.Opening && p.Copy > 0 {
+		p.SeenFirst = earlier.SeenFirst || earlier.Copy == 0
 	}
 	fresh := &Packet{Packet: p, ArrivedAt: now, Datagram: slices.Clone(datagram), expiresAt: now + ageLimit(&p)}
 	added := fresh.bytes()
--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -18,8 +18,10 @@
 	Copy    uint32         // of an opening packet: 0 for the original, n for the nth retransmission
 	Reset   bool           // whether the caller resets the flow
 	Fin     bool           // whether the caller sends nothing after this packet
-	Ack     uint32         // number of the next byte that the caller expects; meaningless in an opening packet
-	Token   Token
+	// SeenFirst is whether the original of a copy waited at this host and was not placed.
+	SeenFirst bool
+	Ack       uint32 // number of the next byte that the caller expects; meaningless in an opening packet
+	Token     Token
 	// Sequence is the number of the first data byte in the packet, Data the
 	// number of data bytes.
 	Sequence uint32
@@ -215,7 +217,7 @@
 func (s *Steerer) place(now time.Duration, p Packet) Decision {
 	route, d := s.routeOf(p.Route)
 	if route == nil {
-		return d
+		return withoutUnseenCopy(p, opening{}, d)
 	}
 	flow := p.Flow()
 	before := s.openings[flow.key()]
@@ -238,7 +240,7 @@
 		d.Unanswered = unanswered
 	}
 	if d.Server == nil {
-		return d
+		return withoutUnseenCopy(p, before, d)
 	}
 	s.cold.recordPlaced(now, d.Server)
 	s.lastUsed[d.Server.ID] = now
@@ -277,6 +279,16 @@
 	return Decision{Verdict: Forward, Reason: reason, Server: server, Service: service}
 }
 
+// withoutUnseenCopy returns the decision about an opening packet that is not placed. A
+// copy whose original this host has not seen is dropped and not refused: another entry
+// host may have placed the original, and a reset would end that flow.
+func withoutUnseenCopy(p Packet, before opening, d Decision) Decision {
+	if d.Verdict == Refuse && p.Copy > 0 && !p.SeenFirst && before.server == nil {
+		d.Verdict = Drop
+	}
+	return d
+}
+
 // recordUnanswered records that a backend server left an opening packet
 // unanswered. It returns the backend server if that should be reported to other
 // hosts, else nil.
