--- a/internal/conntrack/conntrack.go
+++ b/internal/conntrack/conntrack.go
@@ -7,7 +7,6 @@
 package conntrack
 
 import (
-	"net/netip"
 	"time"
 
 	"greengagequay/internal/steering"
@@ -50,39 +49,6 @@
 	maxAnswerBytes = 1 << 20
 )
 
-// Kind is the kind of an outcome.
-type Kind uint8
-
-// The kinds.
-const (
-	Answered   Kind = iota // a request was answered
-	Refused                // an opening packet was neither followed nor repeated
-	Unanswered             // a request got no answer in time
-)
-
-var kindNames = [...]string{"answered", "refused", "unanswered"}
-
-// String returns the name of the kind.
-func (k Kind) String() string { return kindNames[k] }
-
-// Outcome is what became of an opening packet or a request.
-type Outcome struct {
-	Server  string // id of the backend server
-	Born    int64  // its start time in Unix milliseconds
-	Service string
-	Route   netip.AddrPort
-	Kind    Kind
-	Latency time.Duration // of an answer: from the first packet of the request to the first rise of the acknowledgement number
-	Bytes   int           // of an answer: that rise
-}
-
-// Flow is a tracked flow with what a reset of it needs.
-type Flow struct {
-	steering.Flow
-	Ack    uint32 // highest acknowledgement number of the caller
-	Server string // id of the backend server
-}
-
 // Config holds the parameters of a table.
 type Config struct {
 	Seed uint64 // of the hash of flows; one that callers do not know keeps them from choosing ports that collide
@@ -299,102 +265,6 @@
 	o.Kind, o.Latency, o.Bytes = kind, latency, bytes
 }
 
-// requestTimeout returns how long a request of a flow may take.
-func (t *Table) requestTimeout(f *flow) time.Duration {
-	limit, route := maxRequestTimeout, f.key.routeAddr()
-	if x := t.steering.Timeout(route); x > 0 {
-		limit = min(limit, x)
-	}
-	if aim := t.steering.Aim(route); aim > 0 {
-		limit = min(limit, max(lateFactor*aim, minRequestTimeout))
-	}
-	return limit
-}
-
-// Tick ends waits and removes flows that are idle. It returns the outcomes since the
-// last call, in a slice that is valid until the next call. It is called every 100 ms.
-func (t *Table) Tick(now time.Duration) []Outcome {
-	if now-t.aliveAt > maxPause {
-		t.voidWaits(now)
-	}
-	t.aliveAt = now
-	at := stampOf(now)
-	for i := t.flows[0].lists[byWait].next; i != 0; {
-		next := t.flows[i].lists[byWait].next
-		t.checkWait(at, i)
-		i = next
-	}
-	idle := t.idleTimeout()
-	for i := t.flows[0].lists[byUse].next; i != 0 && at.since(t.flows[i].usedAt) >= idle; i = t.flows[0].lists[byUse].next {
-		t.remove(i)
-	}
-	done := t.outcomes
-	t.outcomes, t.spare = t.spare[:0], done
-	return done
-}
-
-// checkWait ends the wait of a flow if it took too long.
-func (t *Table) checkWait(at stamp, i uint32) {
-	f := &t.flows[i]
-	waited := at.since(f.waitAt)
-	switch {
-	case f.has(closed):
-		if waited >= closedRetention {
-			t.remove(i)
-		}
-	case f.has(opening):
-		if waited < openingLimit(f.copies) {
-			return
-		}
-		if f.copies < 2 {
-			t.report(f, Refused, 0, 0)
-		}
-		t.remove(i)
-	case waited >= t.requestTimeout(f):
-		t.report(f, Unanswered, 0, 0)
-		t.endWait(i)
-		f.flags |= unseen
-	}
-}
-
-// openingLimit returns how long after an opening packet the next packet of the flow must
-// come.
-func openingLimit(copies uint8) time.Duration {
-	switch copies {
-	case 0:
-		return openingTimeout
-	case 1:
-		return firstCopyLimit
-	}
-	return secondCopyLimit
-}
-
-// idleTimeout returns how long a flow without a packet is kept. It is at least the time
-// for which a request may wait.
-func (t *Table) idleTimeout() time.Duration {
-	if x := t.steering.IdleTimeout; x > 0 {
-		return min(max(x, maxRequestTimeout+useGranularity), maxIdleTimeout)
-	}
-	return defaultIdleTimeout
-}
-
-// voidWaits ends all waits without an outcome after a pause of the host.
-func (t *Table) voidWaits(now time.Duration) {
-	t.aliveAt = now
-	for i := t.flows[0].lists[byWait].next; i != 0; {
-		f := &t.flows[i]
-		next := f.lists[byWait].next
-		switch {
-		case f.has(opening):
-			t.remove(i) // the packets after the opening one may have been lost
-		case f.has(pending):
-			t.endWait(i)
-			f.flags |= unseen
-		}
-		i = next
-	}
-}
-
 // FlowsOf returns the flows of a backend server that are open.
 func (t *Table) FlowsOf(server string, born int64) []Flow {
 	var list []Flow
--- a/internal/pace/usual.go
+++ b/internal/pace/usual.go
@@ -33,9 +33,9 @@
 	maxUsualFailures = 0.1  // fraction of failures at the other backend servers above which no one is failing
 	minFailureRate   = 0.02 // fraction of failures that is assumed at least
 	// An answer is a failure if it is below this size, and below half of the route's
-	// median. Answers that report a failure have 155 bytes, others 380 or more: a quarter
-	// of the median would miss failures beside answers of less than 620 bytes, and
-	// take answers of 380 bytes for failures beside those of 2,400.
+	// median. An answer that reports a failure is little more than a status line and a few
+	// headers. A limit relative to the median alone would miss failures beside short
+	// answers, and take short answers for failures beside long ones.
 	maxFailureBytes = 300
 	// unlikely is the probability below which observations are not taken for chance. With
 	// 30 backend servers and one independent verdict a second, that makes less than one
@@ -255,75 +255,6 @@
 	return float64(holds) / float64(max(of, 1))
 }
 
-// judge summarizes the latest outcomes of a backend server, and adds all of them to the
-// rates of its service.
-func (p *Pool) judge(now time.Duration, m *server, b *baseline) Verdict {
-	var v Verdict
-	var failures, slow rate
-	sum := 0.0
-	p.ratios = p.ratios[:0]
-	recent := false // whether the outcomes so far are within recentWindow
-	for i := len(m.outcomes) - 1; i >= 0; i-- {
-		o := &m.outcomes[i]
-		age := now - o.at
-		if recent && age > recentWindow {
-			b.addRecent(&v, sum, len(p.ratios))
-		}
-		recent = age <= recentWindow
-		counts := age <= judgeWindow || m.share >= FullShare && v.Outcomes < minEvidence && age <= extendedWindow
-		ratio := 0.0
-		if !o.failed {
-			ratio = o.ratio()
-		}
-		failures.add(o.failed)
-		if ratio > 0 {
-			slow.add(ratio > slowRatio)
-		}
-		if !counts {
-			continue
-		}
-		v.Outcomes++
-		switch {
-		case o.failed:
-			v.Failures++
-			if o.at >= p.lastTick {
-				v.fresh++
-			}
-		case ratio > 0:
-			p.ratios = append(p.ratios, ratio)
-			sum += min(ratio, maxRatio)
-			if ratio > slowRatio {
-				v.above++
-			}
-		}
-	}
-	if recent {
-		b.addRecent(&v, sum, len(p.ratios))
-	}
-	if v.Latencies = len(p.ratios); v.Latencies > 0 {
-		v.Ratio = sum / float64(v.Latencies)
-	}
-	if v.Ratio > slowRatio { // the median is needed only for a slow one
-		slices.Sort(p.ratios)
-		v.median = p.ratios[v.Latencies/2]
-	}
-	if failures.of[0] > 0 {
-		b.failureRates = append(b.failureRates, failures)
-	}
-	if slow.of[0] > 0 {
-		b.slowRates = append(b.slowRates, slow)
-	}
-	return v
-}
-
-// addRecent counts a backend server by its outcomes within recentWindow.
-func (b *baseline) addRecent(v *Verdict, sum float64, latencies int) {
-	b.recent++
-	if float64(v.Failures) >= failingFraction*float64(v.Outcomes) || sum > slowRatio*float64(latencies) {
-		b.recentAffected++
-	}
-}
-
 // isUnlikely reports whether k or more of n observations are unlikely at the given
 // rate, which is taken as at least atLeast.
 func isUnlikely(k, n int, rate, atLeast float64) bool {
