--- a/review/testdata/lab/main.go
+++ b/review/testdata/lab/main.go
@@ -17,6 +17,8 @@
 var cases = map[string]reviewCase{
 	"missing-field":   missingField,
 	"unnamed-service": unnamedService,
+	"unreadable":      unreadableBytes,
+	"unreadable-put":  unreadableConfiguration,
 }
 
 const (
--- a/review/testdata/lab/writers.go
+++ b/review/testdata/lab/writers.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net/netip"
@@ -48,8 +49,13 @@
 // sendForeign sends a heartbeat of another writer to the control host of the first zone.
 func (l *lab) sendForeign(id string, fields map[string]any) {
 	body, _ := json.Marshal(fields) // the fields can always be encoded
+	l.sendBytes(id, body)
+}
+
+// sendBytes sends the body of a heartbeat of another writer.
+func (l *lab) sendBytes(id string, body []byte) {
 	status, answer := l.post(l.controls[0], standin.HeartbeatPath(id), body)
-	l.note("another writer: sends a heartbeat of %s to %s: %s: %d %s", id, l.controls[0].name, body, status, answer)
+	l.note("another writer: sends a heartbeat of %s to %s: %q: %d %s", id, l.controls[0].name, body, status, answer)
 }
 
 // missingField: another writer sends one heartbeat that lacks the field version and names
@@ -157,3 +163,46 @@
 	}
 	return true, nil
 }
+
+// unreadableBytes: another writer sends one heartbeat whose zone holds a byte that is no
+// text in UTF-8. It names the address of a backend under an id of its own. It names no
+// backend to use, so that backend holds, and its open flow must not be reset.
+func unreadableBytes(l *lab, trouble bool) (bool, error) {
+	if err := l.startAll(); err != nil {
+		return false, err
+	}
+	b, err := l.startBackend("i-7f3a91c2", orders, zones[0], l.net+".9.1")
+	if err != nil {
+		return false, err
+	}
+	defer b.stop()
+	if err := l.put(newConfiguration(1, map[string]netip.AddrPort{orders: l.routeAt(1)})); err != nil {
+		return false, err
+	}
+	if err := l.awaitCalm(b); err != nil {
+		return false, err
+	}
+	c, err := l.newCaller(l.net + ".210.1")
+	if err != nil {
+		return false, err
+	}
+	f, opened := c.open(l.entries[0], l.routeAt(1))
+	l.note("client: opens flow %v to the route of %s: %s", f.key.client, orders, opened)
+	if opened != answered {
+		return false, fmt.Errorf("the flow did not open")
+	}
+	for i := range 20 {
+		if i == 8 && trouble {
+			body, _ := json.Marshal(heartbeat(orders, b.address, zones[0], "ready", 1, time.Now().UnixMilli()))
+			l.sendBytes("i-00c0ffee", bytes.Replace(body, []byte(`"zone":"zone-a"`), []byte("\"zone\":\"zone-\xff\""), 1))
+		}
+		result, text := f.request()
+		l.note("client: request %d on the flow: %s %q", i+1, result, text)
+		if result == reset {
+			l.note("client: the reset has sum %d, so it is the system's own; backend %s lives and has sent none", f.reset.Sum, b.id)
+			return false, nil
+		}
+		time.Sleep(requestPause)
+	}
+	return true, nil
+}
