--- a/review/testdata/lab/backend.go
+++ b/review/testdata/lab/backend.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"net/http"
 	"net/netip"
 	"strconv"
 	"strings"
@@ -22,6 +23,7 @@
 	number            uint64 // hex digits of the id
 	born              int64
 	conn              *net.UDPConn
+	calls             *http.Client // for its calls to control hosts
 	done              chan struct{}
 
 	mu    sync.Mutex
@@ -47,6 +49,11 @@
 
 // startBackend starts a backend that announces itself.
 func (l *lab) startBackend(id, service, zone, ip string) (*backend, error) {
+	return l.startBackendBehind(client, id, service, zone, ip)
+}
+
+// startBackendBehind starts a backend whose calls go through a client.
+func (l *lab) startBackendBehind(calls *http.Client, id, service, zone, ip string) (*backend, error) {
 	address := netip.MustParseAddrPort(l.addr(ip, portBackend))
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
 	if err != nil {
@@ -58,7 +65,7 @@
 	}
 	b := &backend{
 		lab: l, id: id, service: service, zone: zone, address: address, number: number, born: time.Now().UnixMilli(),
-		conn: conn, done: make(chan struct{}), state: "ready", flows: map[flowEnds]*served{}, next: indexOf(zone),
+		conn: conn, calls: calls, done: make(chan struct{}), state: "ready", flows: map[flowEnds]*served{}, next: indexOf(zone),
 	}
 	l.note("backend %s of %s starts at %v", id, service, address)
 	go b.serve()
@@ -89,12 +96,12 @@
 
 // sendHeartbeat sends one heartbeat. If it is not acknowledged, the next node is called.
 func (b *backend) sendHeartbeat() {
-	b.mu.Lock()
-	b.seq++
-	body, _ := json.Marshal(heartbeat(b.service, b.address, b.zone, b.state, b.seq, b.born))
-	b.mu.Unlock()
 	for range b.lab.controls {
-		status, _ := b.lab.post(b.lab.controls[b.next], standin.HeartbeatPath(b.id), body)
+		b.mu.Lock()
+		b.seq++
+		body, _ := json.Marshal(heartbeat(b.service, b.address, b.zone, b.state, b.seq, b.born))
+		b.mu.Unlock()
+		status, _ := b.lab.postBy(b.calls, b.lab.controls[b.next], standin.HeartbeatPath(b.id), body)
 		b.mu.Lock()
 		b.acked = status/100 == 2
 		if !b.acked {
@@ -128,6 +135,31 @@
 	return b.runs
 }
 
+// drain makes the backend say that it drains, and waits for the acknowledgement.
+func (b *backend) drain() bool {
+	b.mu.Lock()
+	b.state, b.acked = "draining", false
+	b.mu.Unlock()
+	b.sendHeartbeat()
+	acked := b.isAcked()
+	b.lab.note("backend %s, started at %d, says that it is draining: acknowledged %v", b.id, b.born, acked)
+	return acked
+}
+
+// leave sends the departure, which has no body, to one node after the other until one
+// acknowledges it.
+func (b *backend) leave() bool {
+	for i := range b.lab.controls {
+		to := b.lab.controls[(b.next+i)%len(b.lab.controls)]
+		status, answer := b.lab.postBy(b.calls, to, standin.LeavePath(b.id), nil)
+		b.lab.note("backend %s, started at %d, sends its departure to %s: %d %s", b.id, b.born, to.name, status, answer)
+		if status/100 == 2 {
+			return true
+		}
+	}
+	return false
+}
+
 // stop ends the backend without a word.
 func (b *backend) stop() {
 	close(b.done)
@@ -208,6 +240,9 @@
 	reply.Data = []byte(fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Server-Stamp: %s/%s\r\nContent-Length: %d\r\n\r\n%s", b.id, id, len(body), body))
 	reply.Sequence, reply.Ack = f.seq, f.ack
 	f.seq += uint32(len(reply.Data))
+	if b.state == "draining" {
+		reply.Flags |= standin.FIN // it closes each flow after its next response
+	}
 	f.answers[p.Sequence] = reply
 	b.lab.note("backend %s of %s ran request %s", b.id, b.service, id)
 	return []standin.Packet{reply}
--- a/review/testdata/lab/deployment.go
+++ b/review/testdata/lab/deployment.go
@@ -199,6 +199,11 @@
 
 // post sends a call to a control host and returns the status, 0 if no answer came.
 func (l *lab) post(m *machine, path string, body []byte) (int, string) {
+	return l.postBy(client, m, path, body)
+}
+
+// postBy is post with a client.
+func (l *lab) postBy(client *http.Client, m *machine, path string, body []byte) (int, string) {
 	r, err := client.Post("http://"+l.addr(m.ip, portAPI)+path, "application/json", bytes.NewReader(body))
 	if err != nil {
 		return 0, err.Error()
--- a/review/testdata/lab/main.go
+++ b/review/testdata/lab/main.go
@@ -15,6 +15,7 @@
 type reviewCase func(l *lab, trouble bool) (held bool, err error)
 
 var cases = map[string]reviewCase{
+	"late-departure":  lateDeparture,
 	"missing-field":   missingField,
 	"unnamed-service": unnamedService,
 	"unreadable":      unreadableBytes,
