--- a/internal/catalog/query.go
+++ b/internal/catalog/query.go
@@ -12,6 +12,13 @@
 	return e.Service, true
 }
 
+// Continues reports whether an announcement is a further one of a start that the catalog
+// knows and that is not gone, at the same address and of the same service.
+func (c *Catalog) Continues(h Heartbeat) bool {
+	e := c.entries[h.ID]
+	return e != nil && e.Status != Gone && e.Born == h.Born && e.Service == h.Service && e.Address == h.Address
+}
+
 // Since returns the records that changed after a revision. It leaves out records
 // whose last change came from the control host exclude, if that is not empty.
 func (c *Catalog) Since(revision uint64, exclude string) []Record {
--- a/internal/fleet/announcements.go
+++ b/internal/fleet/announcements.go
@@ -43,15 +43,12 @@
 	return nil
 }
 
-// serves reports whether the document names the service of a backend server, or did so
-// when that server first announced itself. At the first start of the deployment there
-// may be no document yet, and all services are served. The caller holds mu.
+// serves reports whether the document names the service of a backend server. If a later
+// document dropped that service, the starts that are known keep their flows, so they are
+// served until they end, where they are. At the first start of the deployment there may be
+// no document yet, and all services are served. The caller holds mu.
 func (h *ControlHost) serves(b catalog.Heartbeat) bool {
-	if h.services == nil || h.services[b.Service] {
-		return true
-	}
-	service, known := h.catalog.Service(b.ID)
-	return known && service == b.Service
+	return h.services == nil || h.services[b.Service] || h.catalog.Continues(b)
 }
 
 // setServices sets the services that the document names. With the first document of a
