--- a/internal/fleet/adapter.go
+++ b/internal/fleet/adapter.go
@@ -56,7 +56,7 @@
 	// Evacuate starts or ends the evacuation of a zone, and returns once the order is
 	// durable on a quorum.
 	Evacuate(ctx context.Context, zone string, start bool) error
-	// Malformed handles an announcement that could not be parsed.
+	// Malformed handles an announcement or a departure that could not be parsed.
 	Malformed(id string, err error)
 }
 
--- a/internal/fleet/announcements.go
+++ b/internal/fleet/announcements.go
@@ -83,8 +83,8 @@
 	}
 }
 
-// Malformed counts and logs an announcement that could not be parsed.
+// Malformed counts and logs an announcement or a departure that could not be parsed.
 func (h *ControlHost) Malformed(id string, err error) {
 	h.metrics.Counter("control.malformed_announcements").Inc(1)
-	h.log.Event("malformed", "rejected a malformed announcement", eventlog.Fields{"backend": id, "error": err.Error()})
+	h.log.Event("malformed", "rejected a malformed announcement or departure", eventlog.Fields{"backend": id, "error": err.Error()})
 }
--- /dev/null
+++ b/internal/strictjson/strictjson.go
@@ -0,0 +1,13 @@
+// Package strictjson decodes JSON that programs of other owners send. RFC 8259 leaves
+// it to the reader what an odd text means; this package refuses each text that two
+// readers could understand differently.
+package strictjson
+
+import "github.com/go-json-experiment/json"
+
+// Decode decodes one JSON value into the value that into points to. It refuses bytes
+// and escapes that are no Unicode text, an object that names a field twice, a value of
+// another type than its field, and data after the value. It matches the names of fields
+// in upper and lower case, and ignores fields that the target does not have. A field
+// that is null leaves a nil pointer, like one that is missing.
+func Decode(data []byte, into any) error { return json.Unmarshal(data, into) }
