--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -96,22 +96,6 @@
 	return h.Born < known.Born && c.hasStopped(now, known)
 }
 
-// Leave marks a backend server as gone after it announced its departure. born is
-// the start time of the process that departs, or 0 if the call does not say. Leave
-// ignores the departure of another process; without a start time, that of a process
-// that has not announced that it drains: the call may have been delayed and belong to
-// an earlier start. It reports whether it made a change that others must know.
-func (c *Catalog) Leave(now time.Duration, id string, born int64) bool {
-	old := c.entries[id]
-	if old == nil || old.Status == Gone || !old.departs(born) {
-		return false
-	}
-	fresh := old.Record
-	fresh.Status, fresh.Owner = Gone, c.cfg.Self
-	fresh.Sequence++
-	return c.replace(now, old, fresh, "")
-}
-
 // admit adds a backend server that is new, restarted, at a new address or no
 // longer gone. Of two backend servers at one address, the one that started earlier
 // is gone.
@@ -182,7 +166,7 @@
 		return c.readmit(now, old, fresh, from)
 	}
 	warmthChanged := c.updateWarmth(now, old, &fresh)
-	sameOwner := old.Owner == fresh.Owner
+	sameForControl := old.Owner == fresh.Owner && old.Departing == fresh.Departing
 	sameForSteering := old.Status == fresh.Status && old.Service == fresh.Service && old.Slots == fresh.Slots && old.Zone == fresh.Zone &&
 		old.Admission == fresh.Admission && !warmthChanged
 	old.Record, old.updatedAt = fresh, now
@@ -192,7 +176,7 @@
 	switch {
 	case !sameForSteering:
 		c.recordChange(old, from)
-	case !sameOwner:
+	case !sameForControl:
 		c.recordOwnerChange(old, from)
 	default:
 		return false
@@ -228,6 +212,7 @@
 		if include(r.Status) {
 			changed = c.mergeOne(now, from, r) || changed
 			changed = c.mergeAdmission(now, from, r) || changed
+			changed = c.mergeDeparture(&r) || changed
 		}
 	}
 	return changed
--- a/internal/catalog/record.go
+++ b/internal/catalog/record.go
@@ -44,6 +44,9 @@
 	// Epoch counts the starts that replaced one with a higher start time, since the
 	// clock of their host had been set back.
 	Epoch uint64 `cbor:",omitempty"`
+	// Departing is whether a departure arrived that does not say which start it is of, and
+	// no later announcement of this start. It stays set when the record becomes gone.
+	Departing bool `cbor:",omitempty"`
 	// Admission names the entry hosts that may open flows while the backend server is
 	// cold. It is shared and never modified; nil if there is none.
 	Admission *warmup.Admission `cbor:",omitempty"`
@@ -66,24 +69,16 @@
 // statusAfter returns the status of a backend server after a later announcement.
 // Within one start, draining is never revoked. A backend server that is gone but
 // still announces itself as ready is ready: its departure was a delayed call from
-// an earlier start with the same ID.
+// an earlier start with the same ID. One that drains comes back only if its departure
+// did not say that it was of this start.
 func statusAfter(old, fresh *Record) Status {
 	switch {
 	case old.Born != fresh.Born || old.Epoch != fresh.Epoch:
 		return fresh.Status
 	case old.Status == Draining:
 		return max(Draining, fresh.Status)
-	case old.Status == Gone && fresh.Status == Draining:
+	case old.Status == Gone && fresh.Status == Draining && !old.Departing:
 		return Gone
 	}
 	return fresh.Status
 }
-
-// departs reports whether a departure of a start at born, or 0 if that is not known,
-// may be that of this backend server.
-func (r *Record) departs(born int64) bool {
-	if born == 0 {
-		return r.Status == Draining
-	}
-	return born == r.Born
-}
--- a/internal/catalog/silence.go
+++ b/internal/catalog/silence.go
@@ -21,8 +21,8 @@
 	}
 }
 
-// Tick marks backend servers as silent whose heartbeats no longer arrive, and
-// removes expired records. It reports whether it made a change that others must
+// Tick marks backend servers as silent whose heartbeats no longer arrive, ends noted
+// departures, and removes expired records. It reports whether it made a change that others must
 // know.
 func (c *Catalog) Tick(now time.Duration) bool {
 	pause := now - c.lastTick
@@ -32,6 +32,7 @@
 	}
 	c.RemoveExpired(now)
 	before := c.revision
+	c.endDepartures(now)
 	for _, e := range c.entries {
 		if e.Status == Ready && c.silentFor(now, e) > c.silentAfter() {
 			e.Status = Silent
--- a/internal/fleet/adapter.go
+++ b/internal/fleet/adapter.go
@@ -51,7 +51,7 @@
 	// effect, and the backend server should announce itself to another host.
 	Announce(h catalog.Heartbeat) error
 	// Leave handles the departure of a backend server that started at born, in
-	// Unix milliseconds, or 0 if that is not known.
+	// Unix milliseconds, or 0 if the call does not say, see catalog.Catalog.Leave.
 	Leave(id string, born int64)
 	// Evacuate starts or ends the evacuation of a zone, and returns once the order is
 	// durable on a quorum.
--- a/internal/fleet/announcements.go
+++ b/internal/fleet/announcements.go
@@ -75,14 +75,26 @@
 // Leave handles the departure of a backend server.
 func (h *ControlHost) Leave(id string, born int64) {
 	h.mu.Lock()
-	changed := h.catalog.Leave(h.now(), id, born)
+	effect := h.catalog.Leave(h.now(), id, born)
 	h.mu.Unlock()
-	if changed {
-		h.log.Event("backend", "a backend server left", eventlog.Fields{"backend": id, "born": born})
+	h.logDeparture(id, born, effect)
+	if effect != catalog.DepartureIgnored {
 		h.changes.notify()
 	}
 }
 
+func (h *ControlHost) logDeparture(id string, born int64, effect catalog.DepartureEffect) {
+	kind, message := "backend", "a backend server left"
+	switch effect {
+	case catalog.DepartureNoted:
+		message = "a departure without a start counts once the backend server is silent"
+	case catalog.DepartureIgnored:
+		kind, message = "rejected", "ignored a departure: the backend server is unknown or gone, or the departure may be of an earlier start"
+		h.metrics.Counter("control.ignored_departures").Inc(1)
+	}
+	h.log.Event(kind, message, eventlog.Fields{"backend": id, "born": born})
+}
+
 // Malformed counts and logs an announcement or a departure that could not be parsed.
 func (h *ControlHost) Malformed(id string, err error) {
 	h.metrics.Counter("control.malformed_announcements").Inc(1)
