--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -136,16 +136,6 @@
 	c.recordChange(e, "")
 }
 
-// MarkUnservedGone marks the backend servers of services that are not served as gone,
-// which frees their addresses.
-func (c *Catalog) MarkUnservedGone(now time.Duration, served map[string]bool) {
-	for _, e := range c.entries {
-		if e.Status != Gone && !served[e.Service] {
-			c.markGone(now, e)
-		}
-	}
-}
-
 // releaseAddress frees the address of a backend server that is gone or removed.
 func (c *Catalog) releaseAddress(e *entry) {
 	if c.byAddress[e.Address] == e {
--- a/internal/catalog/record.go
+++ b/internal/catalog/record.go
@@ -36,6 +36,15 @@
 	Sequence uint64        // increases with each announcement after one start
 }
 
+// After reports whether an announcement is of a later start than another one with the same
+// id, or a later one of the same start.
+func (h Heartbeat) After(other Heartbeat) bool {
+	if h.Born != other.Born {
+		return h.Born > other.Born
+	}
+	return h.Sequence > other.Sequence
+}
+
 // Record is what catalogs exchange about one backend server.
 type Record struct {
 	Heartbeat
@@ -60,10 +69,7 @@
 	if r.Epoch != old.Epoch {
 		return r.Epoch > old.Epoch
 	}
-	if r.Born != old.Born {
-		return r.Born > old.Born
-	}
-	return r.Sequence > old.Sequence
+	return r.After(old.Heartbeat)
 }
 
 // statusAfter returns the status of a backend server after a later announcement.
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -67,6 +67,7 @@
 	current          bool            // whether this host reached a quorum at the last tick
 	version          uint64          // version of the document in force
 	services         map[string]bool // services that it names, nil before the first document
+	early            earlyAnnouncements
 	documents        recentDocuments
 	lastConnectedAt  map[raft.ID]time.Duration // when each control host was last connected, or first known as a member
 	changeInProgress bool                      // whether a membership change is in progress
@@ -89,8 +90,8 @@
 		entryHistory: newEntryHostHistory(),
 		started:      time.Now(), ctx: ctx, cancel: cancel,
 		catalog: catalog.New(catalog.Config{Self: cfg.feedAddr(), Interval: cfg.Heartbeat(), ColdBound: coldBound(cfg, a) != warmup.Bound{}}),
-		cold:    coldServices{bound: coldBound(cfg, a)},
-		peers:   map[string]feed.HostInfo{}, lastConnectedAt: map[raft.ID]time.Duration{},
+		cold:    coldServices{bound: coldBound(cfg, a)}, early: earlyAnnouncements{},
+		peers: map[string]feed.HostInfo{}, lastConnectedAt: map[raft.ID]time.Duration{},
 		shares: sharePool{pool: pace.NewPool()}, zones: newZonePlanner(),
 	}
 	if err := h.start(a); err != nil {
@@ -129,6 +130,7 @@
 	}
 	h.server = &http.Server{Handler: a.Control(h, netip.MustParseAddrPort(h.cfg.API)), ReadHeaderTimeout: time.Second}
 	h.metrics.GaugeFunc("control.votes", h.votes)
+	h.metrics.GaugeFunc("control.early_announcements", h.earlyCount)
 	h.done.Go(func() { _ = h.server.Serve(api) })
 	h.done.Go(h.watchReplica)
 	h.done.Go(h.loop)
--- a/internal/fleet/controlfeed.go
+++ b/internal/fleet/controlfeed.go
@@ -200,6 +200,7 @@
 	h.version = d.Version
 	h.setServices(d.Services)
 	h.cold.document = d
+	h.releaseEarly()
 	h.documents.add(d.ForFollowers())
 	return true
 }
@@ -235,6 +236,7 @@
 func (h *ControlHost) tick() {
 	current := h.host.Status().Current
 	h.mu.Lock()
+	h.early.expire(h.now())
 	changed := h.catalog.Tick(h.now()) || current != h.current
 	changed = h.admitOwned() || changed
 	changed = h.publishFollowers() || changed
--- a/internal/fleet/hint.go
+++ b/internal/fleet/hint.go
@@ -92,8 +92,7 @@
 }
 
 // isHintDue reports whether the known backend servers should be saved now. Without a
-// document they may be of services that do not exist, which the first document of the
-// deployment removes; a host that restarts would not remove them. The caller holds mu.
+// document this host knows none but those that others sent. The caller holds mu.
 func (h *ControlHost) isHintDue(revision uint64) bool {
 	return h.services != nil && h.hint.due(revision)
 }
