TestEvacuationOutlivesFailures: announce after a restart as backend servers do

Cause, in the test: a restarted control host rejects announcements until it has read its document. Host 7 is ready as soon as it knows one backend server; if that is the one in the evacuated zone, the first flow is refused before the record of the other one arrives. That needs a control host without a hint file, which may not be written yet.

Change: announcements are repeated until they are acknowledged, and the backend server that must get the flows is announced first.

--- a/internal/fleet/evacuationsystem_test.go
+++ b/internal/fleet/evacuationsystem_test.go
@@ -98,9 +98,9 @@
 	c.Assert(restored.Evacuations.Set.Evacuated(), qt.HasLen, 1)
 	s.startControl(2, false)
 	s.startControl(3, false)
-	s.startEntry(7) // in the zone of host 4, without any state
-	s.announce(1, own, "ready")
-	s.announce(1, other, "ready")
+	s.startEntry(7)                  // in the zone of host 4, without any state
+	s.announceAfterRestart(1, other) // first, since host 7 is ready once it knows one backend server
+	s.announceAfterRestart(1, own)
 	s.waitReady(7)
 	c.Assert(s.onlyServes(7, other, &port), qt.IsTrue)
 	_ = own.conn.SetReadDeadline(time.Now().Add(openingWait))
--- a/internal/fleet/harness_test.go
+++ b/internal/fleet/harness_test.go
@@ -203,6 +203,15 @@
 	qt.Assert(s.t, status, qt.Equals, http.StatusOK)
 }
 
+// announceAfterRestart announces a ready backend server to a control host that rejects
+// announcements until it has read its document.
+func (s *system) announceAfterRestart(host int, b *backend) {
+	eventually(func() bool {
+		status, _ := s.call(host, "POST", standin.HeartbeatPath(b.id), string(s.heartbeat(b, "ready")))
+		return status == http.StatusOK
+	})
+}
+
 // receive returns the target and the packet of the next datagram.
 func (b *backend) receive(t *testing.T) (target uint64, packet []byte) {
 	buf := make([]byte, 2048)
