--- a/internal/fleet/adapter.go
+++ b/internal/fleet/adapter.go
@@ -56,6 +56,8 @@
 	// Evacuate starts or ends the evacuation of a zone, and returns once the order is
 	// durable on a quorum.
 	Evacuate(ctx context.Context, zone string, start bool) error
+	// MalformedDocument handles a document that is invalid or could not be parsed.
+	MalformedDocument(err error)
 	// Malformed handles an announcement or a departure that could not be parsed.
 	Malformed(id string, err error)
 }
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -168,6 +168,12 @@
 	return err
 }
 
+// MalformedDocument counts and logs a document that is invalid or could not be parsed.
+func (h *ControlHost) MalformedDocument(err error) {
+	h.metrics.Counter("control.malformed_documents").Inc(1)
+	h.log.Event("document", "refused an operator's document", eventlog.Fields{"error": err.Error()})
+}
+
 // withTimeout sets the timeout of a call that needs a quorum. It is short if this
 // host does not reach a quorum, so that the caller asks another host early.
 func (h *ControlHost) withTimeout(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
--- a/internal/strictjson/strictjson_test.go
+++ b/internal/strictjson/strictjson_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"encoding/json"
+	"os"
+	"path/filepath"
+	"regexp"
 	"testing"
 	"unicode/utf8"
 
@@ -69,6 +72,20 @@
 	qt.Assert(t, s.Name == nil && s.Size == nil && s.List == nil, qt.IsTrue)
 }
 
+var looseDecoding = regexp.MustCompile(`\bjson\.(Unmarshal|NewDecoder)\(`)
+
+// Guards against a decoder of the platform's messages that is not strict.
+func TestPlatformDecodesStrictly(t *testing.T) {
+	files, err := filepath.Glob("../../platform/*.go")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, files, qt.Not(qt.HasLen), 0)
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, looseDecoding.Match(text), qt.IsFalse, qt.Commentf(file))
+	}
+}
+
 // FuzzDecode checks that what is taken is UTF-8 and JSON by the standard library, too.
 func FuzzDecode(f *testing.F) {
 	f.Add([]byte(`{"name":"a","size":1,"list":[{"name":"b"}]}`))
