--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -214,14 +214,15 @@
 	case old == nil:
 		return c.admit(now, r, from)
 	case r.supersedes(&old.Record):
+		if r.Status == Silent && r.sameStart(&old.Record) && old.Status < Draining && !c.decidesSilence(from, &r) {
+			r.Status = old.Status
+		}
 		r.Status = statusAfter(&old.Record, &r)
 		return c.replace(now, old, r, from)
 	case old.supersedes(&r):
 		return false
 	case r.Status == Silent || old.Status == Silent && r.Status == Ready:
-		if r.Status != old.Status && old.Status < Draining && (from == r.Owner || !c.connected[r.Owner]) {
-			// While the owner is connected, only the owner decides whether the
-			// backend server is silent.
+		if r.Status != old.Status && old.Status < Draining && c.decidesSilence(from, &r) {
 			return c.replace(now, old, r, from)
 		}
 	case r.Status > old.Status:
--- a/internal/catalog/silence.go
+++ b/internal/catalog/silence.go
@@ -80,6 +80,13 @@
 	return c.silentFor(now, e) > c.silentAfter()
 }
 
+// decidesSilence reports whether the control host that sent a record decides whether the
+// backend server is silent. While its owner is connected, only the owner does: others may
+// have lost the owner.
+func (c *Catalog) decidesSilence(from string, r *Record) bool {
+	return from == r.Owner || !c.connected[r.Owner]
+}
+
 // silentFor returns for how long no heartbeat of a backend server has arrived, as
 // far as this host knows. While this host is connected to the owner, it returns 0,
 // since the owner reports the silence.
--- /dev/null
+++ b/internal/catalog/silence_test.go
@@ -0,0 +1,47 @@
+package catalog
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against an entry host that takes a backend server for silent, and drops its packets
+// later, although its owner says that it is ready. The entry host follows the owner and, while
+// the owner has no quorum, another control host too. That one has lost the owner and takes its
+// backend servers for silent, with a later sequence number than the entry host knows.
+func TestOwnerDecidesWhateverTheSequence(t *testing.T) {
+	c := qt.New(t)
+	const interval = 770 * time.Millisecond
+	owner := New(Config{Self: "owner", Interval: interval})
+	other := New(Config{Self: "other", Interval: interval})
+	entry := New(Config{Interval: interval})
+	h := Heartbeat{ID: "i-1", Service: "s", Address: netip.MustParseAddrPort("10.0.0.1:80"), Zone: "z", Slots: 1, Born: 1, Sequence: 1}
+
+	owner.ReceiveHeartbeat(0, h)
+	entry.SetConnected(0, "owner", true)
+	entry.Merge(0, "owner", owner.SteeringSince(0))
+	told := owner.SteeringRevision()
+	h.Sequence = 5 // heartbeats that change nothing are not sent on
+	owner.ReceiveHeartbeat(4*interval, h)
+	for now := time.Duration(0); now < 4*interval; now += interval / 2 {
+		other.Tick(now)
+	}
+	other.SetConnected(4*interval, "owner", true) // the other one starts later, and gets the whole state
+	other.Merge(4*interval, "owner", owner.Since(0, "other"))
+
+	other.SetConnected(5*interval, "owner", false) // the owner is cut off from the core, not from the entry host
+	for now := 4 * interval; now < 9*interval; now += interval / 2 {
+		other.Tick(now)
+	}
+	entry.SetConnected(9*interval, "other", true)
+	entry.Merge(9*interval, "other", other.SteeringSince(0))
+	entry.SetConnected(10*interval, "other", false) // the cut has healed
+	entry.Merge(10*interval, "owner", owner.SteeringSince(told))
+
+	c.Assert(entry.entries["i-1"].Status, qt.Equals, Ready)
+	entry.RemoveExpired(120 * time.Second)
+	c.Assert(entry.entries["i-1"], qt.IsNotNil)
+}
