Settings: refuse text that is not Unicode and names that differ in case

Change: jsonc decodes with package strictjson, whose errors have offsets, so the search for the line of an unknown field is gone.

Evidence: five of the six new rows of TestRefused failed before.

--- a/internal/jsonc/jsonc.go
+++ b/internal/jsonc/jsonc.go
@@ -1,17 +1,18 @@
-// Package jsonc decodes JSON with comments strictly: it refuses unknown fields,
-// duplicate names and data after the end of the value. Errors name the line.
+// Package jsonc decodes JSON with comments strictly: it refuses unknown fields, those
+// included whose names differ from known ones only in case, duplicate names, text that is
+// not Unicode, and data after the end of the value. Errors name the line.
 package jsonc
 
 import (
 	"bytes"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
-	"strconv"
-	"strings"
 
+	"github.com/go-json-experiment/json"
+	"github.com/go-json-experiment/json/jsontext"
 	"github.com/tailscale/hujson"
+
+	"greengagequay/internal/strictjson"
 )
 
 // Decode parses JSON with comments and trailing commas into the value that
@@ -24,34 +25,35 @@
 	if err := checkNames(data, doc.Value, ""); err != nil {
 		return err
 	}
-	original := doc.Clone()
 	doc.Standardize() // this keeps the offsets
-	dec := json.NewDecoder(bytes.NewReader(doc.Pack()))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(into); err != nil {
-		return locate(data, original, err)
-	}
-	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
-		return errors.New("there is data after the end of the value")
+	standard := doc.Pack()
+	if err := strictjson.DecodeKnown(standard, into); err != nil {
+		return locate(standard, err)
 	}
 	return nil
 }
 
-// locate adds the line to an error of encoding/json.
-func locate(data []byte, doc hujson.Value, err error) error {
-	var wrongType *json.UnmarshalTypeError
-	if errors.As(err, &wrongType) {
-		return atLine(data, int(wrongType.Offset), err)
+// locate adds the line to an error of strictjson.
+func locate(data []byte, err error) error {
+	var syntactic *jsontext.SyntacticError
+	if errors.As(err, &syntactic) {
+		return atLine(data, startOfText(data, syntactic.ByteOffset), err)
 	}
-	// The error for an unknown field has no type and no offset.
-	if _, name, ok := strings.Cut(err.Error(), "unknown field "); ok {
-		if unquoted, unquoteErr := strconv.Unquote(name); unquoteErr == nil {
-			if offset, found := findMember(doc, unquoted); found {
-				return atLine(data, offset, err)
-			}
-		}
+	var semantic *json.SemanticError
+	if !errors.As(err, &semantic) {
+		return err
+	}
+	if errors.Is(err, json.ErrUnknownName) {
+		err = fmt.Errorf("unknown field %q", semantic.JSONPointer.LastToken())
 	}
-	return err
+	return atLine(data, startOfText(data, semantic.ByteOffset), err)
+}
+
+// startOfText returns the offset of the first name or value from the given one on. The
+// offset of an error may be that of the white space or separator before it.
+func startOfText(data []byte, offset int64) int {
+	n := min(int(offset), len(data))
+	return n + len(data[n:]) - len(bytes.TrimLeft(data[n:], " \t\r\n,:"))
 }
 
 // atLine adds the line of an offset to an error.
@@ -60,24 +62,7 @@
 	return fmt.Errorf("line %d: %w", line, err)
 }
 
-// findMember returns the offset of the first member with the given name.
-func findMember(v hujson.Value, name string) (offset int, found bool) {
-	for x := range v.All() {
-		o, ok := x.Value.(*hujson.Object)
-		if !ok {
-			continue
-		}
-		for _, m := range o.Members {
-			if literal, ok := m.Name.Value.(hujson.Literal); ok && literal.String() == name {
-				return m.Name.StartOffset, true
-			}
-		}
-	}
-	return 0, false
-}
-
-// checkNames refuses objects with duplicate names. encoding/json would keep the
-// last value and drop the others.
+// checkNames refuses objects with duplicate names and names the path of the field.
 func checkNames(data []byte, v hujson.ValueTrimmed, path string) error {
 	switch v := v.(type) {
 	case *hujson.Object:
--- a/internal/jsonc/jsonc_test.go
+++ b/internal/jsonc/jsonc_test.go
@@ -29,6 +29,12 @@
 		{`{"name": "a"} {}`, `after`},
 		{`{"name": `, `unexpected EOF`},
 		{`{"name": 3}`, `cannot unmarshal`},
+		{"{\"name\": \"\xff\"}", `invalid UTF-8`},
+		{"{\"map\": {\"\xff\": 1}}", `invalid UTF-8`},
+		{`{"name": "\ud800"}`, `surrogate`},
+		{`{"Name": "a"}`, `unknown field "Name"`},
+		{`{"name": "a", "NAME": "b"}`, `unknown field "NAME"`},
+		{`{"map": {"x": 1, "\u0078": 2}}`, `twice|duplicate`},
 	} {
 		err := Decode([]byte(tc.data), new(sample))
 		qt.Check(t, err, qt.ErrorMatches, ".*"+tc.want+".*", qt.Commentf("%s", tc.data))
--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -1,4 +1,4 @@
-// Package strictjson decodes JSON that programs of other owners send. RFC 8259 leaves
+// Package strictjson decodes JSON that people and other programs write. RFC 8259 leaves
 // it to the reader what an odd text means; this package refuses each text that two
 // readers could understand differently.
 package strictjson
@@ -11,3 +11,9 @@
 // in upper and lower case, and ignores fields that the target does not have. A field
 // that is null leaves a nil pointer, like one that is missing.
 func Decode(data []byte, into any) error { return json.Unmarshal(data, into) }
+
+// DecodeKnown does the same, and refuses fields that the target does not have. The error
+// is a *json.SemanticError or *jsontext.SyntacticError with the offset in data.
+func DecodeKnown(data []byte, into any) error {
+	return json.Unmarshal(data, into, json.RejectUnknownMembers(true))
+}
