eventlog: limit each text in a line to 1 KiB

An id in the path of a call may have a megabyte, and lines are limited by number only: 20 a second of a kind. Found while looking where text from outside goes; TestLongTextIsCut fails without the limit.

--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"strings"
 	"sync"
@@ -112,3 +113,15 @@
 	c.Assert(utf8.ValidString(out.lines[0]), qt.IsTrue)
 	c.Assert(out.decoded(c)[0]["backend"], qt.Equals, "i-\ufffd")
 }
+
+// Guards against a log that another writer fills with one long id.
+func TestLongTextIsCut(t *testing.T) {
+	c := qt.New(t)
+	out, now := &output{}, &clock{time.Unix(100, 0)}
+	l := New(out, "control-1", now.read)
+	long := strings.Repeat("ð", 1<<20)
+	l.Event("malformed", long, Fields{"backend": long, "hosts": []string{long}, "error": errors.New(long)})
+	l.Close(closeTimeout)
+	c.Assert(len(out.lines[0]) < 5*maxTextBytes, qt.IsTrue)
+	c.Assert(out.decoded(c)[0]["backend"], qt.Equals, strings.Repeat("ð", maxTextBytes/2)+cutMark)
+}
--- a/internal/eventlog/format.go
+++ b/internal/eventlog/format.go
@@ -34,10 +34,22 @@
 	return append(append([]byte(nil), enc.Bytes()...), '\n'), nil
 }
 
+// maxTextBytes limits each text in a line. Texts may come from other programs, such as
+// the id of an invalid announcement.
+const maxTextBytes = 1 << 10
+
+// cutMark ends a text that was cut.
+const cutMark = "..."
+
 // writeText writes a string. It replaces what is no valid UTF-8, as in the id of
-// an invalid announcement, since JSON must be valid UTF-8 (RFC 8259).
+// an invalid announcement, since JSON must be valid UTF-8 (RFC 8259), and cuts a long
+// one.
 func writeText(enc *jx.Encoder, s string) {
-	enc.Str(strings.ToValidUTF8(s, string(utf8.RuneError)))
+	if len(s) <= maxTextBytes {
+		enc.Str(strings.ToValidUTF8(s, string(utf8.RuneError)))
+		return
+	}
+	enc.Str(strings.ToValidUTF8(s[:maxTextBytes], "") + cutMark)
 }
 
 // encode writes one value. Types without a case of their own are written as text.
