A start below that of the last backend server at its address is not gone for good

Cause: of two backend servers at one address the one with the lower start was gone, also if the other one had long stopped, until its record expired after 90 s.

Change: such an announcement is rejected while the other one announces itself, so that what is acknowledged has an effect, and takes the address once the host that received the other one's announcements, or the connected owner, says that they have stopped. A lost owner proves nothing. Merged records are decided as before: they come with the one that is gone.

Evidence: TestStartBelowThatOfTheLastServerAtItsAddress failed before (before=silent x=gone). Not tried with processes.

--- a/internal/catalog/address_test.go
+++ b/internal/catalog/address_test.go
@@ -68,3 +68,29 @@
 		})
 	}
 }
+
+// Guards against a backend server whose announcements are acknowledged, and that is gone
+// all the same for 90 s, since its clock was set back below the start of the one that had
+// its address before; and against a delayed announcement that takes an address.
+func TestStartBelowThatOfTheLastServerAtItsAddress(t *testing.T) {
+	c := qt.New(t)
+	owner, cutOff, entry := newCatalog("c1"), newCatalog("c2"), newCatalog("")
+	owner.ReceiveHeartbeat(0, heartbeat("before", 2000, 7))
+	cutOff.Merge(0, "c1", owner.Since(0, "c2"))
+	tickTo(cutOff, 0, 5*interval)
+	c.Assert(statuses(cutOff), qt.Equals, "before=silent")
+	c.Assert(cutOff.IsAddressTaken(5*interval, heartbeat("x", 1000, 1)), qt.IsTrue, qt.Commentf("it may announce itself to c1"))
+	tickTo(owner, 0, 2*interval)
+	c.Assert(owner.IsAddressTaken(2*interval, heartbeat("x", 1000, 1)), qt.IsTrue, qt.Commentf("the other one may run"))
+	c.Assert(owner.IsAddressTaken(2*interval, heartbeat("x", 3000, 1)), qt.IsFalse)
+	c.Assert(owner.IsAddressTaken(2*interval, heartbeat("before", 2000, 8)), qt.IsFalse)
+	tickTo(owner, 2*interval, 3*interval)
+	c.Assert(owner.IsAddressTaken(3*interval, heartbeat("x", 1000, 2)), qt.IsFalse)
+	owner.ReceiveHeartbeat(3*interval, heartbeat("x", 1000, 2))
+	entry.Merge(3*interval, "c1", owner.SteeringSince(0))
+	for _, k := range []*Catalog{owner, entry} {
+		c.Assert(statuses(k), qt.Equals, "before=gone x=ready")
+	}
+	owner.ReceiveHeartbeat(4*interval, heartbeat("before", 2000, 8))
+	c.Assert(statuses(owner), qt.Equals, "before=ready x=gone", qt.Commentf("it was only cut off"))
+}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -69,6 +69,7 @@
 	fresh := Record{Heartbeat: h, Status: status, Owner: c.cfg.Self}
 	old := c.entries[h.ID]
 	if old == nil {
+		c.freeAddress(now, h)
 		return c.admit(now, fresh, "")
 	}
 	fresh.Epoch = old.Epoch
@@ -78,6 +79,7 @@
 	if !fresh.supersedes(&old.Record) {
 		return false // delayed or repeated
 	}
+	c.freeAddress(now, h)
 	fresh.Status = statusAfter(&old.Record, &fresh)
 	return c.replace(now, old, fresh, "")
 }
--- a/internal/fleet/announcements.go
+++ b/internal/fleet/announcements.go
@@ -65,6 +65,8 @@
 		return fault.New(fault.NotFound, "add the service to the document, or announce to another control host", "service %q of backend server %q is not in the document", b.Service, b.ID)
 	case h.catalog.IsOfEarlierStart(h.now(), b):
 		return fault.New(fault.NotCurrent, "announce again once the later start is silent", "backend server %q started again after start %d", b.ID, b.Born)
+	case h.catalog.IsAddressTaken(h.now(), b):
+		return fault.New(fault.NotCurrent, "announce again once the later one is silent", "another backend server started at %v after start %d of %q", b.Address, b.Born, b.ID)
 	}
 	return nil
 }
