--- a/internal/catalog/departure.go
+++ b/internal/catalog/departure.go
@@ -62,14 +62,43 @@
 	return e.Status == Draining && e.Owner == c.cfg.Self && c.noteDeparture(e)
 }
 
+// minDepartureSilence is longer than a feed takes to notice that a control host is lost.
+const minDepartureSilence = 2 * time.Second
+
 // endDepartures marks the backend servers as gone whose departure was noted and whose
 // announcements no longer arrive here, at their owner.
 func (c *Catalog) endDepartures(now time.Duration) {
+	if !c.hearsAllHosts(now) {
+		return
+	}
+	silence := max(minDepartureSilence, c.silentAfter())
 	for _, e := range c.entries {
-		if e.Departing && e.Status == Draining && e.Owner == c.cfg.Self && c.silentFor(now, e) > c.silentAfter() {
+		if e.Departing && e.Status == Draining && e.Owner == c.cfg.Self && c.silentFor(now, e) > silence {
 			c.releaseAddress(e)
 			e.Status = Gone // updatedAt stays, the record is removed as long after its last announcement as others
 			c.recordChange(e, "")
 		}
 	}
 }
+
+// hearsAllHosts reports whether this host is connected to each control host that it was
+// connected to, but for those lost for so long that they have been replaced. A backend
+// server may announce itself to one that is only cut off from this host.
+func (c *Catalog) hearsAllHosts(now time.Duration) bool {
+	for _, at := range c.disconnectedAt {
+		if now-at <= removeAfter {
+			return false
+		}
+	}
+	return true
+}
+
+// ForgetDepartures removes the notes of departures from records that were stored: the
+// backend servers may have announced themselves elsewhere since.
+func ForgetDepartures(records []Record) {
+	for i := range records {
+		if records[i].Status == Draining {
+			records[i].Departing = false
+		}
+	}
+}
--- a/internal/catalog/departure_test.go
+++ b/internal/catalog/departure_test.go
@@ -79,6 +79,50 @@
 	}
 }
 
+// Guards against a control host that is cut off from the others and ends a backend server
+// that announces itself to one of them.
+func TestDepartureAtACutOffControlHost(t *testing.T) {
+	c := qt.New(t)
+	k := newCatalog("c1")
+	k.SetConnected(0, "c2", true)
+	k.ReceiveHeartbeat(0, draining(heartbeat("x", 2, 2)))
+	k.SetConnected(0, "c2", false)
+	c.Assert(k.Leave(0, "x", 0), qt.Equals, DepartureNoted)
+	tickTo(k, 0, 20*interval)
+	c.Assert(statuses(k), qt.Equals, "x=draining")
+	k.Merge(20*interval, "c2", []Record{{Heartbeat: draining(heartbeat("x", 2, 21)), Status: Draining, Owner: "c2"}})
+	k.SetConnected(20*interval, "c2", true)
+	tickTo(k, 20*interval, 30*interval)
+	c.Assert(statuses(k), qt.Equals, "x=draining")
+}
+
+// Guards against flows that are never reset since a control host is lost for good.
+func TestDepartureAfterAControlHostWasReplaced(t *testing.T) {
+	c := qt.New(t)
+	k := newCatalog("c1")
+	k.SetConnected(0, "c2", true)
+	k.SetConnected(0, "c2", false)
+	tickTo(k, 0, removeAfter+interval)
+	k.ReceiveHeartbeat(removeAfter+interval, draining(heartbeat("x", 1, 2)))
+	k.Leave(removeAfter+interval, "x", 0)
+	tickTo(k, removeAfter+interval, removeAfter+4*interval)
+	c.Assert(statuses(k), qt.Equals, "x=gone")
+}
+
+// Guards against a restarted control host that ends a backend server by a departure that it
+// had stored.
+func TestStoredDepartureIsForgotten(t *testing.T) {
+	c := qt.New(t)
+	before, after := newCatalog("c1"), newCatalog("c1")
+	before.ReceiveHeartbeat(0, draining(heartbeat("x", 2, 2)))
+	before.Leave(0, "x", 0)
+	stored := before.Since(0, "")
+	ForgetDepartures(stored)
+	after.Merge(0, "", stored)
+	tickTo(after, 0, 20*interval)
+	c.Assert(statuses(after), qt.Equals, "x=draining")
+}
+
 // TestLateDepartures plays departures of an earlier start at random control hosts while
 // the present one drains and goes from one control host to another. It must stay.
 func TestLateDepartures(t *testing.T) {
--- a/internal/fleet/hint.go
+++ b/internal/fleet/hint.go
@@ -104,6 +104,7 @@
 		h.log.Event("hint", "could not load the hint file; backend servers are unknown until they announce themselves", eventlog.Fields{"error": err.Error()})
 		return
 	}
+	catalog.ForgetDepartures(records)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.catalog.Merge(h.now(), "", records)
