API: refuse bodies that two readers could understand differently

The API of quayd run refused bodies that are no UTF-8, but took half of a surrogate pair, and the last of two fields of one name. It now checks bodies with package strictjson. The two new rows of TestCallsThatAreNoUTF8AreRejected failed before.

--- a/internal/apiserver/utf8_test.go
+++ b/internal/apiserver/strictjson_test.go
@@ -41,13 +41,15 @@
 	submitted := &submissions{}
 	generated, err := api.NewServer(&apiserver.Server{Replica: replica.New(), Submit: submitted, Clock: clock.Real{}})
 	c.Assert(err, qt.IsNil)
-	handler := apiserver.RequireUTF8(generated, request.WriteError)
+	handler := apiserver.RequireStrictJSON(generated, request.WriteError)
 	calls := []struct{ path, body string }{
 		{"/v1/changes", `{"id":"x","message":"?","ops":[{"action":"set","path":"/","key":"request.queue","value":"3"}]}`},
 		{"/v1/announcements", `{"id":"p1?","service":"s","zone":"a","state":"ready","incarnation":1,"packetAddress":"10.0.0.1:80"}`},
 	}
 	for _, call := range calls {
-		for text, want := range map[string]int{"e": http.StatusOK, "\xff": http.StatusBadRequest} {
+		for text, want := range map[string]int{
+			"e": http.StatusOK, "\xff": http.StatusBadRequest, `\ud800`: http.StatusBadRequest, `","id":"y`: http.StatusBadRequest,
+		} {
 			submitted.n = 0
 			r := httptest.NewRequest("POST", call.path, strings.NewReader(strings.Replace(call.body, "?", text, 1)))
 			r.Header.Set("Content-Type", "application/json")
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -140,7 +140,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", d.Metrics)
-	mux.Handle("/", apiserver.RequireUTF8(server, request.WriteError))
+	mux.Handle("/", apiserver.RequireStrictJSON(server, request.WriteError))
 	d.api = &http.Server{Handler: d.tokens.Guard(mux, request.WriteError), ReadHeaderTimeout: headerTimeout}
 	d.background.Go(func() { d.serveHTTP(d.api, d.bound.api) })
 	return nil
--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -3,7 +3,10 @@
 // readers could understand differently.
 package strictjson
 
-import "github.com/go-json-experiment/json"
+import (
+	"github.com/go-json-experiment/json"
+	"github.com/go-json-experiment/json/jsontext"
+)
 
 // Decode decodes one JSON value into the value that into points to. It refuses bytes
 // and escapes that are no Unicode text, an object that names a field twice, a value of
@@ -17,3 +20,9 @@
 func DecodeKnown(data []byte, into any) error {
 	return json.Unmarshal(data, into, json.RejectUnknownMembers(true))
 }
+
+// Check returns an error for a text that Decode refuses whatever the target is.
+func Check(data []byte) error {
+	var value jsontext.Value
+	return json.Unmarshal(data, &value)
+}
--- a/internal/strictjson/strictjson_test.go
+++ b/internal/strictjson/strictjson_test.go
@@ -66,6 +66,14 @@
 	}
 }
 
+func TestCheck(t *testing.T) {
+	for text, isValid := range map[string]bool{
+		`{"a":[1,"\u00f0"]}`: true, `1`: true, `{"a":1,"a":2}`: false, `"\ud800"`: false, "\"\xff\"": false, `{} {}`: false, ``: false,
+	} {
+		qt.Check(t, strictjson.Check([]byte(text)) == nil, qt.Equals, isValid, qt.Commentf("%q", text))
+	}
+}
+
 func TestNullIsMissing(t *testing.T) {
 	var s sample
 	qt.Assert(t, strictjson.Decode([]byte(`{"name":null,"list":null}`), &s), qt.IsNil)
@@ -96,5 +104,6 @@
 			return
 		}
 		qt.Assert(t, utf8.Valid(data) && json.Valid(data), qt.IsTrue)
+		qt.Assert(t, strictjson.Check(data), qt.IsNil)
 	})
 }
