--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -216,10 +216,7 @@
 	case old == nil:
 		return c.admit(now, r, from)
 	case r.supersedes(&old.Record):
-		if r.Status == Silent && r.sameStart(&old.Record) && old.Status < Draining && !c.decidesSilence(from, &r) {
-			r.Status = old.Status
-		}
-		r.Status = statusAfter(&old.Record, &r)
+		r.Status = c.mergedStatus(from, &old.Record, &r)
 		return c.replace(now, old, r, from)
 	case old.supersedes(&r):
 		return false
--- a/internal/catalog/silence.go
+++ b/internal/catalog/silence.go
@@ -87,6 +87,14 @@
 	return from == r.Owner || !c.connected[r.Owner]
 }
 
+// mergedStatus returns the status after a later record from another control host.
+func (c *Catalog) mergedStatus(from string, old, later *Record) Status {
+	if later.Status == Silent && old.Status < Draining && later.sameStart(old) && !c.decidesSilence(from, later) {
+		return old.Status
+	}
+	return statusAfter(old, later)
+}
+
 // silentFor returns for how long no heartbeat of a backend server has arrived, as
 // far as this host knows. While this host is connected to the owner, it returns 0,
 // since the owner reports the silence.
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -83,6 +83,8 @@
 	publishedFollowers uint64
 }
 
+// StartControl starts a control host. It returns an error if the host cannot read its data
+// folder or listen at its addresses; nothing runs then.
 func StartControl(cfg Config, a Adapter, log *eventlog.Log) (*ControlHost, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &ControlHost{
