A departure frees the address although the control host of its sender is lost

Found in reading the change again: a start below that of the backend server that left its address would be rejected until the record expired, if the owner of that record was lost. A noted departure now counts beside the silence. TestAddressOfADepartedServerWhoseOwnerIsLost failed before.

--- a/internal/catalog/address.go
+++ b/internal/catalog/address.go
@@ -30,7 +30,8 @@
 
 // isKnownToHaveStopped reports whether a backend server no longer announces itself, by what
 // this host has received or its connected owner has said. That the owner is lost proves
-// nothing.
+// nothing, unless a departure arrived as well.
 func (c *Catalog) isKnownToHaveStopped(now time.Duration, e *entry) bool {
-	return (e.Owner == c.cfg.Self || c.connected[e.Owner]) && c.hasStopped(now, e)
+	ownerIsHeard := e.Owner == c.cfg.Self || c.connected[e.Owner]
+	return (ownerIsHeard || e.Departing) && c.hasStopped(now, e)
 }
--- a/internal/catalog/address_test.go
+++ b/internal/catalog/address_test.go
@@ -94,3 +94,19 @@
 	owner.ReceiveHeartbeat(4*interval, heartbeat("before", 2000, 8))
 	c.Assert(statuses(owner), qt.Equals, "before=ready x=gone", qt.Commentf("it was only cut off"))
 }
+
+// Guards against a backend server that is rejected for 90 s since the one that left its
+// address had a higher start time, and its control host is lost.
+func TestAddressOfADepartedServerWhoseOwnerIsLost(t *testing.T) {
+	c := qt.New(t)
+	k := newCatalog("c1")
+	k.SetConnected(0, "c2", true)
+	k.Merge(0, "c2", []Record{{Heartbeat: draining(heartbeat("before", 2000, 7)), Status: Draining, Owner: "c2"}})
+	k.SetConnected(0, "c2", false)
+	tickTo(k, 0, 4*interval)
+	c.Assert(k.IsAddressTaken(4*interval, heartbeat("x", 1000, 1)), qt.IsTrue)
+	k.Leave(4*interval, "before", 0)
+	c.Assert(k.IsAddressTaken(4*interval, heartbeat("x", 1000, 1)), qt.IsFalse)
+	k.ReceiveHeartbeat(4*interval, heartbeat("x", 1000, 1))
+	c.Assert(statuses(k), qt.Equals, "before=gone x=ready")
+}
