Known red: a silent record outlives a restart of all control hosts; waiting originals are refused

The control hosts were killed and restarted at 18:20:36 with 29 from their hint files, which the entry host ignores as earlier, and what they heard after that changed nothing for them. So the entry host of its zone placed 250 logged flows at others and none there in 20 s. TestEntryHostBelievesARestartedOwner shows it in one process; it fails and is passed over.

--- a/internal/catalog/silence_test.go
+++ b/internal/catalog/silence_test.go
@@ -45,3 +45,27 @@
 	entry.RemoveExpired(120 * time.Second)
 	c.Assert(entry.entries["i-1"], qt.IsNotNil)
 }
+
+// Guards against an entry host that takes a live backend server for silent, and drops its
+// packets later, since all control hosts restarted from hint files with an earlier sequence
+// number: what they hear after that changes nothing for them, and is not sent.
+func TestEntryHostBelievesARestartedOwner(t *testing.T) {
+	c := qt.New(t)
+	before, after, entry := newCatalog("before"), newCatalog("after"), newCatalog("")
+	before.ReceiveHeartbeat(0, heartbeat("x", 1, 3))
+	hint := before.Since(0, "")
+	before.ReceiveHeartbeat(interval, heartbeat("x", 1, 5))
+	tickTo(before, 0, 4*interval)
+	entry.SetConnected(0, "before", true)
+	entry.Merge(4*interval, "before", before.SteeringSince(0))
+	c.Assert(statuses(entry), qt.Equals, "x=silent")
+	entry.SetConnected(4*interval, "before", false)
+
+	after.Merge(5*interval, "", hint)
+	entry.SetConnected(5*interval, "after", true)
+	entry.Merge(5*interval, "after", after.SteeringSince(0))
+	sent := after.SteeringRevision()
+	after.ReceiveHeartbeat(6*interval, heartbeat("x", 1, 9))
+	entry.Merge(6*interval, "after", after.SteeringSince(sent))
+	c.Assert(statuses(entry), qt.Equals, "x=ready")
+}
