Settings: give errors of a wrong type a text of our own

Cause: the library says "cannot" or "unable to" unmarshal, chosen anew in each process, so that programs do not depend on its text.

Change: jsonc writes the text from the kind and the path in the error.

--- a/internal/jsonc/jsonc.go
+++ b/internal/jsonc/jsonc.go
@@ -43,10 +43,19 @@
 	if !errors.As(err, &semantic) {
 		return err
 	}
-	if errors.Is(err, json.ErrUnknownName) {
-		err = fmt.Errorf("unknown field %q", semantic.JSONPointer.LastToken())
+	return atLine(data, startOfText(data, semantic.ByteOffset), describe(semantic))
+}
+
+// describe returns the error with a text that is the same in each process. The library
+// varies its own, so that programs do not depend on it.
+func describe(err *json.SemanticError) error {
+	switch {
+	case err.Err == nil:
+		return fmt.Errorf("cannot unmarshal a JSON %v into field %q", err.JSONKind, err.JSONPointer)
+	case errors.Is(err, json.ErrUnknownName):
+		return fmt.Errorf("unknown field %q", err.JSONPointer.LastToken())
 	}
-	return atLine(data, startOfText(data, semantic.ByteOffset), err)
+	return fmt.Errorf("cannot unmarshal a JSON %v into field %q: %w", err.JSONKind, err.JSONPointer, err.Err)
 }
 
 // startOfText returns the offset of the first name or value from the given one on. The
