--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -10,9 +10,9 @@
 
 // Decode decodes one JSON value into the value that into points to. It refuses bytes
 // and escapes that are no Unicode text, an object that names a field twice, a value of
-// another type than its field, and data after the value. It matches the names of fields
-// in upper and lower case, and ignores fields that the target does not have. A field
-// that is null leaves a nil pointer, like one that is missing.
+// another type than its field, and data after the value. Names of fields are
+// case-sensitive. Fields that the target does not have are ignored. A field that is null
+// leaves a nil pointer, like one that is missing.
 func Decode(data []byte, into any) error { return json.Unmarshal(data, into) }
 
 // DecodeKnown does the same, and refuses fields that the target does not have. The error
