wal: replaced entries may begin before the first remaining segment

Cause: entries of a leader that are not committed may lie in two segments. The next leader's entries replace them from an index in the first segment on.

The replacing frame then "does not follow", the log counted as corrupt, and the host set it aside.

An entry at or below the begin of the remaining ones replaces all of them, if it is above the commit index saved before. Nothing that is written changes, so data folders in this state open.

Ruled out: the order of removals, torn frames and interrupted installs; each crash point of the random workloads passes without a change of what is written.

--- a/internal/wal/recover.go
+++ b/internal/wal/recover.go
@@ -1,6 +1,7 @@
 package wal
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"strings"
@@ -20,14 +21,21 @@
 	return fault.New(fault.Corrupt, remedy, "data file %s is corrupt at offset %d: %s", file, offset, what)
 }
 
-// recovery rebuilds the saved log from the segments.
+// recovery rebuilds the saved log from the segments that remain and the snapshot.
+//
+// It may assume this of the removed segments: a durable snapshot covers the highest
+// index that an entry in any of them has. So the log reached to that snapshot at most
+// when the first remaining segment was begun, and the first entry there follows or
+// replaces entries that the snapshot covers. Later entries, in the same segment or in
+// another one, may replace entries from a lower index on, above the commit index.
 type recovery struct {
 	disk      Disk
 	hardState raft.HardState
 	entries   []raft.Entry
-	base      uint64 // index before the first entry, valid if hasBase
-	baseTerm  uint64
+	base      uint64 // index before the first of entries, valid if hasBase
+	start     uint64 // value of base before later entries replaced earlier ones
 	hasBase   bool
+	isReset   bool   // base is the index of a snapshot that replaced the log
 	sequence  uint64 // sequence number of the next frame, 0 before the first one
 	segments  []segment
 	tail      int // valid bytes of the last segment
@@ -99,17 +107,17 @@
 		if err := codec.Unmarshal(f.payload, &x); err != nil {
 			return err
 		}
-		r.entries, r.base, r.baseTerm, r.hasBase = nil, x.Index, x.Term, true
-		for i := range r.segments {
-			r.segments[i].last = 0
+		if err := r.reset(x.Index); err != nil {
+			return err
 		}
 		b = x.Batch
 	} else if err := codec.Unmarshal(f.payload, &b); err != nil {
 		return err
 	}
+	committed := r.hardState.Commit
 	r.hardState = b.toHardState()
 	for _, e := range b.Entries {
-		if err := r.add(e.toEntry()); err != nil {
+		if err := r.add(e.toEntry(), committed); err != nil {
 			return err
 		}
 		s := &r.segments[len(r.segments)-1]
@@ -118,19 +126,51 @@
 	return nil
 }
 
-// add appends one entry. It replaces any entries from its index on.
-func (r *recovery) add(e raft.Entry) error {
+// reset restarts the log after an installed snapshot with the given index.
+func (r *recovery) reset(index uint64) error {
+	if index < r.hardState.Commit {
+		return fmt.Errorf("the snapshot of entry %d replaces committed entries up to %d", index, r.hardState.Commit)
+	}
+	r.entries, r.base, r.start, r.hasBase, r.isReset = nil, index, index, true, true
+	for i := range r.segments {
+		r.segments[i].last = 0
+	}
+	return nil
+}
+
+// add appends one entry. It replaces any entries from its index on, which must be
+// above the commit index that was saved before. The first of those may have been in a
+// removed segment.
+func (r *recovery) add(e raft.Entry, committed uint64) error {
+	if e.Index == 0 {
+		return errors.New("an entry has no index")
+	}
 	if !r.hasBase {
-		r.base, r.hasBase = e.Index-1, true
+		r.base, r.start, r.hasBase = e.Index-1, e.Index-1, true
 	}
 	next := r.base + uint64(len(r.entries)) + 1
-	if e.Index <= r.base || e.Index > next {
+	switch {
+	case e.Index > next || r.isReset && e.Index <= r.base:
 		return fmt.Errorf("entry %d does not follow entry %d", e.Index, next-1)
+	case e.Index <= committed && r.replaces(e):
+		return fmt.Errorf("entry %d of term %d replaces a committed entry", e.Index, e.Term)
+	case e.Index <= r.base:
+		r.base, r.entries = e.Index-1, nil
 	}
 	r.entries = append(r.entries[:e.Index-r.base-1], e)
 	return nil
 }
 
+// replaces reports whether the log has another entry at the index of e, or had one in
+// a removed segment.
+func (r *recovery) replaces(e raft.Entry) bool {
+	if e.Index <= r.base {
+		return true
+	}
+	at := int(e.Index - r.base - 1)
+	return at < len(r.entries) && r.entries[at].Term != e.Term
+}
+
 // matches reports whether the log contains the snapshot's last entry or starts
 // right after it.
 func (r *recovery) matches(s *raft.Snapshot) bool {
@@ -142,23 +182,23 @@
 }
 
 // restoredState returns the snapshot with the hard state and the entries that
-// follow it.
+// follow it. It returns an error if an entry that neither the snapshot nor a segment
+// holds was committed, or may have been.
 func (r *recovery) restoredState(s *raft.Snapshot) (raft.Restored, error) {
-	out := raft.Restored{HardState: r.hardState, Snapshot: s, Entries: r.entries}
+	out := raft.Restored{HardState: r.hardState, Snapshot: s}
 	index := uint64(0)
 	if s != nil {
 		index = s.Index
 	}
-	last := r.base + uint64(len(r.entries))
-	switch {
-	case r.hasBase && r.base > index:
-		return out, corrupt(r.disk.Path(""), 0, fmt.Sprintf("entries %d to %d are missing", index+1, r.base), remedyRejoin)
-	case s != nil && !r.matches(s):
-		out.Entries = nil // the installed snapshot replaces the entries
-	default:
+	if r.hasBase && r.start > index {
+		return out, corrupt(r.disk.Path(""), 0, fmt.Sprintf("entries %d to %d are missing", index+1, r.start), remedyRejoin)
+	}
+	last := index // the installed snapshot replaces entries that it does not match
+	if s == nil || r.matches(s) {
 		out.Entries = slices.Clip(r.entries[index-r.base:])
+		last += uint64(len(out.Entries))
 	}
-	if r.hardState.Commit > max(index, last) {
+	if r.hardState.Commit > last {
 		return out, corrupt(r.disk.Path(""), 0, fmt.Sprintf("the log ends at entry %d, but %d was committed", last, r.hardState.Commit), remedyRejoin)
 	}
 	return out, nil
