document: a delta that drops all service settings arrives

Callers saw: entry hosts would keep the warm-up times and limits of services after a document without any.

Cause: Delta.Services pointed to the list of the later document. A pointer to a nil list is encoded like no list, which means no change.

Change: the list of a delta is never nil.

Evidence: TestDeltaDropsAllServiceSettings, through the codec, failed before (one service kept its settings). The other pointer of this kind, feed.Update.Followers, is never to a nil list.

--- a/internal/document/delta.go
+++ b/internal/document/delta.go
@@ -12,7 +12,8 @@
 	Version uint64           // version that results
 	Removed []netip.AddrPort // addresses of the routes that are no longer there
 	Changed []Route          // routes that are new or changed
-	// Services holds the settings of all services if any of them changed, else nil.
+	// Services holds the settings of all services if any of them changed, else nil. The
+	// list is never nil: a pointer to a nil list would arrive as if nothing had changed.
 	Services *[]ServiceSettings `cbor:",omitempty"`
 	// IdleTimeout is that of the resulting document, in milliseconds.
 	IdleTimeout uint32 `cbor:",omitempty"`
@@ -22,7 +23,8 @@
 func Diff(from, to *Document) *Delta {
 	d := &Delta{From: from.Version, Version: to.Version, IdleTimeout: to.IdleTimeout}
 	if !slices.Equal(from.ServiceSettings, to.ServiceSettings) {
-		d.Services = &to.ServiceSettings
+		settings := append([]ServiceSettings{}, to.ServiceSettings...)
+		d.Services = &settings
 	}
 	old := from.byAddress()
 	for _, r := range to.Routes {
--- a/internal/document/delta_test.go
+++ b/internal/document/delta_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"greengagequay/internal/codec"
 )
 
 // randomDocument returns a document with some of a few addresses.
@@ -40,6 +42,21 @@
 	}
 }
 
+// Guards against followers that keep the settings of all services after a document that
+// has none.
+func TestDeltaDropsAllServiceSettings(t *testing.T) {
+	c := qt.New(t)
+	from := &Document{Version: 1, ServiceSettings: []ServiceSettings{{Name: "orders"}}}
+	to := &Document{Version: 2}
+	data, err := codec.Marshal(Diff(from, to))
+	c.Assert(err, qt.IsNil)
+	var received Delta
+	c.Assert(codec.Unmarshal(data, &received), qt.IsNil)
+	got, ok := from.Apply(&received)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(got.ServiceSettings, qt.HasLen, 0)
+}
+
 func TestDeltaForAnotherVersion(t *testing.T) {
 	from, to := &Document{Version: 4}, &Document{Version: 7}
 	_, ok := (&Document{Version: 5}).Apply(Diff(from, to))
