wal: a log is set aside completely, and replaces no earlier copy

What operators would see: a crash while a damaged log is set aside could leave its first part in force without the rest, if the disk keeps a later rename and loses an earlier one, or lose files of it. A second damaged log replaced the files of the first. A host that was stopped right after it had set its log aside, with the settings of the first start, came back under its former identity without its votes.

Cause: all files were renamed without a sync after the identity, always to the same names. Segments without an identity were removed if their first frame was not readable. The identity of an initial voter depends on its address alone.

Only an unfinished first segment without any frame after the first is removed. Initial voters with a log that was set aside join as new members. A counter and the damage line say where the files are.

--- a/internal/fleet/raftlog.go
+++ b/internal/fleet/raftlog.go
@@ -34,10 +34,14 @@
 	}
 	h.openHints(folder)
 	ownAddr := logAddr(h.cfg.feedAddr())
+	voters, err := h.initialVoters(ownAddr, folder)
+	if err != nil {
+		return err
+	}
 	if err := h.listenRPC(ownAddr); err != nil {
 		return err
 	}
-	options, err := h.logOptions(ownAddr, folder)
+	options, err := h.logOptions(ownAddr, folder, voters)
 	if err != nil {
 		return err
 	}
@@ -70,13 +74,13 @@
 // logOptions returns the options with which this host takes part in the replicated
 // log. Members are named by their log address, since a new host may take over the
 // name of another.
-func (h *ControlHost) logOptions(ownAddr string, disk wal.Disk) (control.Options, error) {
+func (h *ControlHost) logOptions(ownAddr string, disk wal.Disk, voters []raft.Member) (control.Options, error) {
 	root, err := logs.New(h.log.Output(), config.Log{Level: "info", Format: "json"})
 	if err != nil {
 		return control.Options{}, err
 	}
 	return control.Options{
-		Name: ownAddr, Addr: ownAddr, Disk: disk, Replica: h.replica, Managed: true, InitialVoters: h.initialVoters(ownAddr),
+		Name: ownAddr, Addr: ownAddr, Disk: disk, Replica: h.replica, Managed: true, InitialVoters: voters,
 		Transport: control.NewRPCTransport(h.client), Clock: clock.Real{}, Metrics: h.metrics,
 		Log:    root.Component("log").With("host", h.cfg.Name),
 		Rand:   rand.New(rand.NewPCG(control.RandomNumber(), control.RandomNumber())),
@@ -95,8 +99,12 @@
 	if fault.KindOf(openErr) != fault.Corrupt {
 		return nil, openErr
 	}
-	h.log.Event("damage", "moved the damaged log aside; this host joins as a new member", eventlog.Fields{"error": openErr.Error()})
-	if err := wal.SetAside(o.Disk); err != nil {
+	h.metrics.Counter("control.logs_set_aside").Inc(1)
+	log, err := wal.SetAside(o.Disk)
+	h.log.Event("damage", "moved the damaged log aside; this host joins as a new member", eventlog.Fields{
+		"error": openErr.Error(), "prefix": log.Prefix, "files": log.Files, "replaced": log.Replaced,
+	})
+	if err != nil {
 		return nil, err
 	}
 	o.InitialVoters = nil
@@ -105,10 +113,14 @@
 
 // initialVoters returns the voters of a new log if this host is one of them, else
 // nil. At the first start of the whole deployment all hosts have the same seeds,
-// so each initial voter can start the log without contacting the others.
-func (h *ControlHost) initialVoters(ownAddr string) []raft.Member {
+// so each initial voter can start the log without contacting the others. A host that has
+// set its log aside was a member before: under the same identity it could vote twice.
+func (h *ControlHost) initialVoters(ownAddr string, disk wal.Disk) ([]raft.Member, error) {
 	if !h.cfg.FirstStart {
-		return nil
+		return nil, nil
+	}
+	if damaged, err := wal.CountDamaged(disk); err != nil || damaged > 0 {
+		return nil, err
 	}
 	var list []raft.Member
 	included := false
@@ -118,9 +130,9 @@
 		list = append(list, raft.Member{ID: initialVoterID(addr), Name: addr, Addr: addr, Voter: true})
 	}
 	if !included {
-		return nil
+		return nil, nil
 	}
-	return list
+	return list, nil
 }
 
 // initialVoterID returns the ID of an initial voter's data folder. It depends on
--- a/internal/fleet/system_test.go
+++ b/internal/fleet/system_test.go
@@ -14,6 +14,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"greengagequay/internal/catalog"
+	"greengagequay/internal/wal"
 	"greengagequay/platform/standin"
 )
 
@@ -103,6 +104,31 @@
 	c.Assert(damaged, qt.HasLen, 1)
 }
 
+// Guards against a host that votes twice in a term because it was stopped right after it
+// had set its log aside, and then starts as at the first start of the deployment.
+func TestHostThatSetItsLogAsideIsANewMember(t *testing.T) {
+	c := qt.New(t)
+	s := newSystem(t)
+	s.startControls()
+	s.put(1, 1)
+	s.stopControl(2)
+	disk, err := wal.OpenFolder(filepath.Join(s.folder, "2"))
+	c.Assert(err, qt.IsNil)
+	log, before, err := wal.Open(disk, nil)
+	c.Assert(err, qt.IsNil)
+	c.Assert(log.Close(), qt.IsNil)
+	_, err = wal.SetAside(disk)
+	c.Assert(err, qt.IsNil)
+	s.startControl(2, true)
+	eventually(func() bool { return s.controls[2].Votes() })
+	c.Assert(s.get(2), qt.Equals, document(1))
+	s.stopControl(2)
+	log, after, err := wal.Open(disk, nil)
+	c.Assert(err, qt.IsNil)
+	c.Assert(log.Close(), qt.IsNil)
+	c.Assert(after.ID, qt.Not(qt.Equals), before.ID)
+}
+
 // A fourth control host joins as a learner and becomes a voter once a voter is
 // lost.
 func TestLostHostIsReplaced(t *testing.T) {
--- a/internal/wal/snapshot.go
+++ b/internal/wal/snapshot.go
@@ -59,14 +59,7 @@
 	if err := l.writeFileAtomic(snapshotName(s.Index), EncodeBackup(s)); err != nil {
 		return err
 	}
-	names, err := l.disk.List()
-	if err != nil {
-		return fmt.Errorf("list data folder: %w", err)
-	}
-	if err := l.removeOldSnapshots(withPrefix(names, snapshotPrefix)); err != nil {
-		return err
-	}
-	return l.removeSegments(s.Index)
+	return l.removeReplaced(s.Index)
 }
 
 // Install replaces the log and the state with a snapshot from the leader.
@@ -77,7 +70,20 @@
 	if err := l.writeReset(s, hs); err != nil {
 		return err
 	}
-	return l.SaveSnapshot(s)
+	return l.removeReplaced(s.Index)
+}
+
+// removeReplaced removes the snapshots and segments that the durable snapshot with the
+// given index replaces.
+func (l *Log) removeReplaced(index uint64) error {
+	names, err := l.disk.List()
+	if err != nil {
+		return fmt.Errorf("list data folder: %w", err)
+	}
+	if err := l.removeOldSnapshots(withPrefix(names, snapshotPrefix)); err != nil {
+		return err
+	}
+	return l.removeSegments(index)
 }
 
 // writeReset writes a frame after which the log continues from the snapshot,
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -19,7 +19,6 @@
 	snapshotPrefix = "snapshot-"
 	identityName   = "identity"
 	temporaryName  = "temporary"
-	damagedPrefix  = "damaged-"
 )
 
 func snapshotName(index uint64) string { return fmt.Sprintf("%s%016x", snapshotPrefix, index) }
@@ -62,23 +61,6 @@
 	return l, stored, nil
 }
 
-// SetAside renames the files of a damaged log, so that the folder can be opened
-// as an empty one. It replaces files that were set aside earlier.
-func SetAside(d Disk) error {
-	names, err := d.List()
-	if err != nil {
-		return fmt.Errorf("list data folder: %w", err)
-	}
-	for _, prefix := range []string{identityName, snapshotPrefix, segmentPrefix} {
-		for _, name := range withPrefix(names, prefix) {
-			if err := d.Rename(name, damagedPrefix+name); err != nil {
-				return fmt.Errorf("set aside %s: %w", d.Path(name), err)
-			}
-		}
-	}
-	return d.SyncDir()
-}
-
 func (l *Log) open(newID func() raft.ID) (Stored, error) {
 	names, err := l.disk.List()
 	if err != nil {
@@ -133,8 +115,8 @@
 	return Stored{ID: id}, l.writeIdentity(id)
 }
 
-// removeUnfinished removes the files of an interrupted creation. It returns an
-// error if the folder holds a log or a snapshot but lost its identity.
+// removeUnfinished removes the file of an interrupted creation. It returns an error if
+// the folder holds a log or a snapshot but lost its identity.
 func (l *Log) removeUnfinished(names []string) error {
 	if len(withPrefix(names, snapshotPrefix)) > 0 {
 		return corrupt(l.disk.Path(identityName), 0, "the identity is missing", remedyRejoin)
@@ -144,7 +126,7 @@
 		if err != nil {
 			return fmt.Errorf("read segment: %w", err)
 		}
-		if f, ok := parseFrame(data); ok && len(data) > f.size {
+		if !isNewLog(name, data) {
 			return corrupt(l.disk.Path(identityName), 0, "the identity is missing", remedyRejoin)
 		}
 		if err := l.disk.Remove(name); err != nil {
@@ -154,6 +136,19 @@
 	return l.disk.SyncDir()
 }
 
+// isNewLog reports whether a segment is the first one of a log and holds nothing but
+// its first frame, perhaps incomplete.
+func isNewLog(name string, data []byte) bool {
+	if name != (segment{number: 1}).name() {
+		return false
+	}
+	f, ok := parseFrame(data)
+	if ok {
+		return len(data) == f.size
+	}
+	return !containsFrame(data)
+}
+
 func (l *Log) writeIdentity(id raft.ID) error {
 	return l.writeFileAtomic(identityName, appendFrame(nil, kindIdentity, 1, encode(identity{ID: uint64(id)})))
 }
