raft: a batch holds all entries that its messages acknowledge

What an operator could see: after a crash a follower that lags by more than 32 MiB misses entries that it acknowledged, or takes its log for damaged ("the log ends at entry N, but M was committed").

Cause: Ready limited the entries of a batch to 32 MiB, but not the commit index and the acknowledgements that go with them.

Change: a batch holds all entries that are not on the disk. They are in memory anyway, and flow control keeps a leader from sending more than 4 MiB ahead of an answer.

Evidence: TestReadyHoldsAllThatItAcknowledges failed before (1 of 3 entries).

--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -15,7 +15,7 @@
 	maxAppendBytes        = 512 << 10 // bytes of entry data in one message
 	maxInflight           = 32        // unacknowledged appends per member
 	maxInflightBytes      = 4 << 20   // bytes of entry data in the unacknowledged appends of a member
-	maxUncommittedBytes   = 32 << 20  // bytes of proposals that are not yet committed; also the limit of a Ready batch
+	maxUncommittedBytes   = 32 << 20  // bytes of proposals that are not yet committed; also the limit of what a Ready batch applies
 	snapshotRetryInterval = 5 * time.Second
 )
 
--- a/internal/raft/ready.go
+++ b/internal/raft/ready.go
@@ -1,6 +1,7 @@
 package raft
 
 import (
+	"math"
 	"time"
 
 	"greengagequay/internal/fault"
@@ -25,7 +26,7 @@
 	r := Ready{
 		HardState:  HardState{Term: n.term, Vote: n.vote, Commit: n.log.commit},
 		Snapshot:   n.receivedSnapshot,
-		Entries:    n.log.slice(n.log.stable, n.log.lastIndex(), maxUncommittedBytes),
+		Entries:    n.log.slice(n.log.stable, n.log.lastIndex(), math.MaxInt), // all of them: Messages and HardState rely on them
 		Messages:   n.messages,
 		ReadStates: n.readStates,
 	}
--- a/internal/raft/step_test.go
+++ b/internal/raft/step_test.go
@@ -166,3 +166,21 @@
 	c.Assert(second.Entries, qt.HasLen, 2)
 	c.Assert(second.Entries[0].Term, qt.Equals, uint64(4))
 }
+
+// Guards against a member that acknowledges entries, or saves a commit index, ahead of the
+// entries that it saves with them.
+func TestReadyHoldsAllThatItAcknowledges(t *testing.T) {
+	c := qt.New(t)
+	n := newTestNode(c, 3)
+	large := make([]byte, maxUncommittedBytes*2/3)
+	for i := uint64(1); i <= 3; i++ {
+		n.Step(0, Message{
+			Type: MsgAppend, From: 2, To: 1, Term: 3, Index: i, LogTerm: min(i*2-1, 3), Commit: i + 1,
+			Entries: []Entry{{Index: i + 1, Term: 3, Data: large}},
+		})
+	}
+	r, _ := n.Ready()
+	c.Assert(r.Entries, qt.HasLen, 3)
+	c.Assert(r.HardState.Commit, qt.Equals, uint64(4))
+	c.Assert(r.Messages[len(r.Messages)-1].Index, qt.Equals, uint64(4))
+}
