catalog: entry hosts believe control hosts that restarted with an older record

Callers saw: an entry host gave a live backend server no new flow, and after 90 s dropped the packets of its open flows.

Cause: the entry host knew a silent record with a later sequence number than the hint files from which all control hosts restarted. It ignored their older record, and the next announcement changed nothing for them, so it was not sent to entry hosts. In the other direction a backend server that fell silent around the restart stayed ready at entry hosts.

Change: an entry host takes over the silence of an older record of the same start if the sender decides it: the sender is the owner of both records, or their owners are not connected. Control hosts learn of the new owner as before, and nothing more is sent.

TestEarlierRecordsOfOthersChangeNothing holds the limits, as TestOwnerDecidesWhateverTheSequence does.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -219,7 +219,7 @@
 		r.Status = c.mergedStatus(from, &old.Record, &r)
 		return c.replace(now, old, r, from)
 	case old.supersedes(&r):
-		return false
+		return c.correctSilence(now, old, from, &r)
 	case r.Status == Silent || old.Status == Silent && r.Status == Ready:
 		if r.Status != old.Status && old.Status < Draining && c.decidesSilence(from, &r) {
 			return c.replace(now, old, r, from)
--- a/internal/catalog/silence.go
+++ b/internal/catalog/silence.go
@@ -95,6 +95,26 @@
 	return statusAfter(old, later)
 }
 
+// correctSilence takes over from an earlier record whether a backend server is silent, if
+// the control host that sent it decides that. It reports whether it did.
+//
+// Control hosts that restarted from hint files may know an earlier announcement than the
+// entry hosts. What they hear, or do not hear, from then on may change nothing for them,
+// and is then not sent. Other control hosts learn of it with the owner of the record.
+func (c *Catalog) correctSilence(now time.Duration, old *entry, from string, earlier *Record) bool {
+	isEntryHost := c.cfg.Self == ""
+	decides := c.decidesSilence(from, earlier) && c.decidesSilence(from, &old.Record)
+	if !isEntryHost || !decides || !earlier.sameStart(&old.Record) || earlier.Address != old.Address {
+		return false
+	}
+	if old.Status >= Draining || earlier.Status >= Draining || earlier.Status == old.Status {
+		return false
+	}
+	old.Status, old.Sequence, old.Owner, old.updatedAt = earlier.Status, earlier.Sequence, earlier.Owner, now
+	c.recordChange(old, from)
+	return true
+}
+
 // silentFor returns for how long no heartbeat of a backend server has arrived, as
 // far as this host knows. While this host is connected to the owner, it returns 0,
 // since the owner reports the silence.
--- a/internal/catalog/silence_test.go
+++ b/internal/catalog/silence_test.go
@@ -69,3 +69,53 @@
 	entry.Merge(6*interval, "after", after.SteeringSince(sent))
 	c.Assert(statuses(entry), qt.Equals, "x=ready")
 }
+
+// Guards against an entry host that takes a backend server for ready that has been silent
+// since all control hosts restarted from hint files with an earlier sequence number.
+func TestEntryHostBelievesThatARestartedOwnerHearsNothing(t *testing.T) {
+	c := qt.New(t)
+	before, after, entry := newCatalog("before"), newCatalog("after"), newCatalog("")
+	before.ReceiveHeartbeat(0, heartbeat("x", 1, 3))
+	hint := before.Since(0, "")
+	before.ReceiveHeartbeat(interval, heartbeat("x", 1, 5))
+	entry.SetConnected(0, "before", true)
+	entry.Merge(interval, "before", before.SteeringSince(0))
+	entry.SetConnected(interval, "before", false)
+
+	after.Tick(2 * interval)
+	after.Merge(2*interval, "", hint)
+	entry.SetConnected(2*interval, "after", true)
+	entry.Merge(2*interval, "after", after.SteeringSince(0))
+	c.Assert(statuses(entry), qt.Equals, "x=ready")
+	tickTo(after, 2*interval, 6*interval)
+	entry.Merge(6*interval, "after", after.SteeringSince(0))
+	c.Assert(statuses(entry), qt.Equals, "x=silent")
+	after.ReceiveHeartbeat(7*interval, heartbeat("x", 1, 15))
+	entry.Merge(7*interval, "after", after.SteeringSince(0))
+	c.Assert(statuses(entry), qt.Equals, "x=ready")
+}
+
+// Guards against an entry host that believes an earlier record although the control host
+// that knows better is connected, or although the backend server drains.
+func TestEarlierRecordsOfOthersChangeNothing(t *testing.T) {
+	c := qt.New(t)
+	owner, other, entry := newCatalog("owner"), newCatalog("other"), newCatalog("")
+	owner.ReceiveHeartbeat(0, heartbeat("x", 1, 3))
+	second := heartbeat("y", 1, 3)
+	second.Address = netip.MustParseAddrPort("10.0.0.2:80")
+	owner.ReceiveHeartbeat(0, second)
+	other.SetConnected(0, "owner", true)
+	other.Merge(0, "owner", owner.Since(0, ""))
+	second.Sequence = 5
+	owner.ReceiveHeartbeat(interval, heartbeat("x", 1, 5))
+	owner.ReceiveHeartbeat(interval, draining(second))
+	tickTo(owner, 0, 5*interval)
+	entry.SetConnected(0, "owner", true)
+	entry.SetConnected(0, "other", true)
+	entry.Merge(5*interval, "owner", owner.SteeringSince(0))
+	entry.Merge(5*interval, "other", other.SteeringSince(0))
+	c.Assert(statuses(entry), qt.Equals, "x=silent y=draining")
+	entry.SetConnected(6*interval, "owner", false)
+	entry.Merge(6*interval, "other", other.SteeringSince(0))
+	c.Assert(statuses(entry), qt.Equals, "x=ready y=draining")
+}
