steering: an opening packet that waited at a paused host is not refused

Callers saw: an entry host reset a flow whose backend server was healthy.

Cause: packets wait in the socket of a host that does not run, or that cannot place flows yet. When it goes on, it places the original, takes the copy right behind it for a sign that the backend server left it unanswered, finds no other that it may use (cold), and refuses the copy. Or it refuses the original. The flow is open by then.

Change: a host that did not run for over 150 ms takes the opening packets of the next 200 ms for delayed, and one that waited for 150 ms until the host could place flows. A delayed one is placed if possible, else dropped and not refused; a copy right behind it goes to the same backend server without a suspicion.

The logs show the paused host place an original, report a suspect and get a request of the same flow within 1 ms. TestDelayedOpeningIsNotRefused and TestCopyRightAfterADelayedPacketGoesToTheSameServer do not compile before, since nothing says that a packet was delayed.

--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -50,6 +50,7 @@
 	documents    map[string]*document.Document // the last document of each followed control host, by its address
 	levels       shareLevels
 	plans        zonePlans
+	pauses       pauses
 	lastUpdateAt time.Duration // when the last update arrived from a control host that has sent its state
 	leaving      bool
 	pacer        rebuildPacer
@@ -108,6 +109,8 @@
 	h.registerEvacuations()
 	if h.flows != nil {
 		h.done.Go(h.trackFlows)
+	} else {
+		h.done.Go(h.watchPauses)
 	}
 	serveMetrics(h.ctx, h.cfg.Metrics, h.metrics, h.log, h.whereRoute)
 	return nil
--- a/internal/fleet/flows.go
+++ b/internal/fleet/flows.go
@@ -73,6 +73,7 @@
 // tickFlows handles the outcomes since the last call and adds them to the next report. It returns the flows to reset.
 func (h *EntryHost) tickFlows(now time.Duration) []conntrack.Flow {
 	h.mu.Lock()
+	h.recordAlive(now)
 	outcomes := h.flows.table.Tick(now)
 	for i := range outcomes {
 		o := &outcomes[i]
--- a/internal/fleet/held.go
+++ b/internal/fleet/held.go
@@ -171,7 +171,7 @@
 		h.mu.Unlock()
 		return false
 	}
-	d := h.steerer.DecideHeld(now, p.Packet)
+	d := h.steerer.DecideHeld(now, now-p.ArrivedAt, p.Packet)
 	h.flows.observe(now, p.Packet, d)
 	h.recordMissing(now, d)
 	in := h.decisionInputs(now)
--- a/internal/fleet/packets.go
+++ b/internal/fleet/packets.go
@@ -61,6 +61,8 @@
 	}
 	h.mu.Lock()
 	now := h.now()
+	h.recordAlive(now)
+	packet.Delayed = packet.Opening && h.pauses.mayHaveWaited(now)
 	d := h.steerer.Decide(now, packet)
 	h.recordMissing(now, d)
 	in := h.decisionInputs(now)
@@ -159,6 +161,15 @@
 	if !h.log.Allow(d.Reason.String()) {
 		return
 	}
+	fields := packetFields(p, d, in)
+	if request != "" {
+		fields["request"] = request
+	}
+	h.log.Write(d.Reason.String(), "steered a packet", fields)
+}
+
+// packetFields returns the fields of the line about a decision.
+func packetFields(p steering.Packet, d steering.Decision, in decisionInputs) eventlog.Fields {
 	fields := eventlog.Fields{
 		"caller": p.Caller, "route": p.Route, "verdict": d.Verdict.String(),
 		"version": in.table.Version, "feed_age_ms": in.age.Milliseconds(),
@@ -166,17 +177,17 @@
 	if p.Opening {
 		fields["copy"] = p.Copy
 	}
+	if p.Delayed {
+		fields["after_pause"] = true
+	}
 	if in.held > 0 {
 		fields["held_ms"] = in.held.Milliseconds()
 	}
 	if d.Service != "" {
 		fields["service"] = d.Service
 	}
-	if request != "" {
-		fields["request"] = request
-	}
 	if d.Server != nil {
 		fields["backend"], fields["status"], fields["sequence"] = d.Server.ID, d.Server.Status.String(), d.Server.Sequence
 	}
-	h.log.Write(d.Reason.String(), "steered a packet", fields)
+	return fields
 }
--- a/internal/steering/cold_test.go
+++ b/internal/steering/cold_test.go
@@ -199,3 +199,38 @@
 		qt.Assert(t, describe(s.Decide(time.Second, x.p)), qt.Equals, x.want)
 	}
 }
+
+// Guards against a reset of a flow that another entry host has placed, while the original
+// of its opening packet waited at this host, which was paused or could not place flows yet.
+func TestDelayedOpeningIsNotRefused(t *testing.T) {
+	c := qt.New(t)
+	s := New(Config{Zone: "a", Host: "h", ColdBound: coldBound})
+	cold := backend("x1", "orders", "a", catalog.Ready)
+	cold.Admission = &warmup.Admission{Hosts: []string{"other"}, Each: 1}
+	s.SetTable(0, Build(coldDocument(), []catalog.Record{cold}))
+	s.cold.startZoneWarmup("a", time.Second)
+	now := time.Second
+	c.Assert(describe(s.DecideHeld(now, 0, syn(1, orders, 0))), qt.Equals, "refuse cold")
+	c.Assert(describe(s.DecideHeld(now, MaxFresh, syn(1, orders, 0))), qt.Equals, "drop cold")
+	seen := syn(1, orders, 1)
+	seen.SeenFirst = true
+	c.Assert(describe(s.DecideHeld(now, MaxFresh, seen)), qt.Equals, "drop cold")
+	delayed := syn(2, orders, 0)
+	delayed.Delayed = true
+	c.Assert(describe(s.Decide(now, delayed)), qt.Equals, "drop cold")
+	delayed.Route = callerAddress(9)
+	c.Assert(describe(s.Decide(now, delayed)), qt.Equals, "drop no_route")
+}
+
+// Guards against suspicions of backend servers that had no time to answer, because both
+// copies of the opening packet waited at a paused host.
+func TestCopyRightAfterADelayedPacketGoesToTheSameServer(t *testing.T) {
+	c := qt.New(t)
+	s := newTestSteerer(t, backend("x1", "orders", "a", catalog.Ready), backend("x2", "orders", "a", catalog.Ready))
+	original, repeated := syn(1, orders, 0), syn(1, orders, 1)
+	original.Delayed, repeated.Delayed = true, true
+	first := s.Decide(time.Second, original)
+	second := s.Decide(time.Second+time.Millisecond, repeated)
+	c.Assert(describe(second), qt.Equals, "forward placed_again "+first.Server.ID)
+	c.Assert(s.suspects.byID, qt.HasLen, 0)
+}
--- a/internal/steering/decision.go
+++ b/internal/steering/decision.go
@@ -15,8 +15,11 @@
 	Fin     bool           // whether the caller sends nothing after this packet
 	// SeenFirst is whether the original of a copy waited at this host and was not placed.
 	SeenFirst bool
-	Ack       uint32 // number of the next byte that the caller expects; meaningless in an opening packet
-	Token     Token
+	// Delayed is whether an opening packet may have waited at this host until its caller
+	// sent another copy, which another entry host may have placed.
+	Delayed bool
+	Ack     uint32 // number of the next byte that the caller expects; meaningless in an opening packet
+	Token   Token
 	// Sequence is the number of the first data byte in the packet, Data the
 	// number of data bytes.
 	Sequence uint32
--- a/internal/steering/held.go
+++ b/internal/steering/held.go
@@ -10,9 +10,14 @@
 // packet. A caller sends the first copy after it.
 const minAnswerTime = 200 * time.Millisecond
 
-// DecideHeld is Decide for a packet that has waited at this host. The time for which it
-// waited does not count as time that the backend server took.
-func (s *Steerer) DecideHeld(now time.Duration, p Packet) Decision {
+// MaxFresh is the time from the arrival of an opening packet for which no flow of another
+// copy can be open. It leaves a part of minAnswerTime for the ways from and to the caller.
+const MaxFresh = minAnswerTime * 3 / 4
+
+// DecideHeld is Decide for a packet that has waited at this host for the given time,
+// which does not count as time that the backend server took.
+func (s *Steerer) DecideHeld(now, waited time.Duration, p Packet) Decision {
+	p.Delayed = p.Delayed || waited >= MaxFresh
 	d := s.Decide(now, p)
 	if p.Opening && d.Verdict == Forward {
 		key := p.Flow().key()
--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -134,7 +134,7 @@
 func (s *Steerer) place(now time.Duration, p Packet) Decision {
 	route, d := s.routeOf(p.Route)
 	if route == nil {
-		return withoutUnseenCopy(p, opening{}, d)
+		return withoutOtherCopy(p, opening{}, d)
 	}
 	flow := p.Flow()
 	before := s.openings[flow.key()]
@@ -157,11 +157,11 @@
 		d.Unanswered = unanswered
 	}
 	if d.Server == nil {
-		return withoutUnseenCopy(p, before, d)
+		return withoutOtherCopy(p, before, d)
 	}
 	s.cold.recordPlaced(now, d.Server)
 	s.lastUsed[d.Server.ID] = now
-	s.openings[flow.key()] = opening{firstAt: before.firstAt, latestAt: now, server: d.Server, tried: append(before.tried, d.Server.ID)}
+	s.openings[flow.key()] = opening{firstAt: before.firstAt, latestAt: now, server: d.Server, tried: append(before.tried, d.Server.ID), held: p.Delayed}
 	return d
 }
 
@@ -196,11 +196,13 @@
 	return Decision{Verdict: Forward, Reason: reason, Server: server, Service: service}
 }
 
-// withoutUnseenCopy returns the decision about an opening packet that is not placed. A
-// copy whose original this host has not seen is dropped and not refused: another entry
-// host may have placed the original, and a reset would end that flow.
-func withoutUnseenCopy(p Packet, before opening, d Decision) Decision {
-	if d.Verdict == Refuse && p.Copy > 0 && !p.SeenFirst && before.server == nil {
+// withoutOtherCopy returns the decision about an opening packet that is not placed. It is
+// dropped and not refused if another entry host may have placed another copy, since a reset
+// would end that flow: a copy whose original this host has not seen, or any packet that
+// may have waited here until its caller sent another one.
+func withoutOtherCopy(p Packet, before opening, d Decision) Decision {
+	unseen := p.Copy > 0 && !p.SeenFirst && before.server == nil
+	if d.Verdict == Refuse && (unseen || p.Delayed) {
 		d.Verdict = Drop
 	}
 	return d
--- a/internal/steering/steering_test.go
+++ b/internal/steering/steering_test.go
@@ -293,7 +293,7 @@
 func TestCopyRightAfterAHeldPacketGoesToTheSameServer(t *testing.T) {
 	c := qt.New(t)
 	s := newTestSteerer(t, backend("x1", "orders", "a", catalog.Ready), backend("x2", "orders", "a", catalog.Ready))
-	first := s.DecideHeld(590*time.Millisecond, syn(1, orders, 1))
+	first := s.DecideHeld(590*time.Millisecond, 190*time.Millisecond, syn(1, orders, 1))
 	c.Assert(first.Reason, qt.Equals, Placed)
 	second := s.Decide(600*time.Millisecond, syn(1, orders, 2))
 	c.Assert(describe(second), qt.Equals, "forward placed_again "+first.Server.ID)
@@ -301,7 +301,7 @@
 	open := Packet{Caller: callerAddress(1), Route: orders, Token: first.Server.Token}
 	c.Assert(s.Decide(605*time.Millisecond, open).Opened, qt.Equals, 15*time.Millisecond)
 
-	third := s.DecideHeld(700*time.Millisecond, syn(2, orders, 0))
+	third := s.DecideHeld(700*time.Millisecond, 0, syn(2, orders, 0))
 	fourth := s.Decide(900*time.Millisecond, syn(2, orders, 1))
 	c.Assert(fourth.Server.ID, qt.Not(qt.Equals), third.Server.ID, qt.Commentf("the server had its time"))
 	c.Assert(s.suspects.byID, qt.HasLen, 1)
