--- a/internal/fleet/system_test.go
+++ b/internal/fleet/system_test.go
@@ -129,6 +129,57 @@
 	c.Assert(after.ID, qt.Not(qt.Equals), before.ID)
 }
 
+// Guards against a procedure in docs/OPERATIONS.md that does not work: two of three hosts
+// have set sound logs aside, and an operator puts them back.
+func TestLogsThatWereSetAsideArePutBack(t *testing.T) {
+	c := qt.New(t)
+	s := newSystem(t)
+	s.startControls()
+	s.put(1, 5)
+	for host := 1; host <= 3; host++ {
+		s.stopControl(host)
+	}
+	for host := 2; host <= 3; host++ {
+		disk, err := wal.OpenFolder(filepath.Join(s.folder, fmt.Sprint(host)))
+		c.Assert(err, qt.IsNil)
+		_, err = wal.SetAside(disk)
+		c.Assert(err, qt.IsNil)
+	}
+	for host := 1; host <= 3; host++ {
+		s.startControl(host, false)
+	}
+	status, _ := s.call(1, "GET", standin.GetPath, "")
+	c.Assert(status, qt.Equals, http.StatusServiceUnavailable)
+	for host := 1; host <= 3; host++ {
+		s.stopControl(host)
+	}
+	for host := 2; host <= 3; host++ {
+		putBack(c, filepath.Join(s.folder, fmt.Sprint(host)))
+	}
+	for host := 1; host <= 3; host++ {
+		s.startControl(host, false)
+	}
+	c.Assert(s.get(2), qt.Equals, document(5))
+	s.put(3, 6)
+}
+
+// putBack replaces the log in a data folder by the one that was set aside.
+func putBack(c *qt.C, folder string) {
+	for _, pattern := range []string{"identity", "snapshot-*", "log-*"} {
+		current, err := filepath.Glob(filepath.Join(folder, pattern))
+		c.Assert(err, qt.IsNil)
+		for _, path := range current {
+			c.Assert(os.Remove(path), qt.IsNil)
+		}
+		damaged, err := filepath.Glob(filepath.Join(folder, "damaged-"+pattern))
+		c.Assert(err, qt.IsNil)
+		for _, path := range damaged {
+			name := strings.TrimPrefix(filepath.Base(path), "damaged-")
+			c.Assert(os.Rename(path, filepath.Join(folder, name)), qt.IsNil)
+		}
+	}
+}
+
 // A fourth control host joins as a learner and becomes a voter once a voter is
 // lost.
 func TestLostHostIsReplaced(t *testing.T) {
