--- a/internal/control/linear_test.go
+++ b/internal/control/linear_test.go
@@ -150,19 +150,29 @@
 	})
 }
 
+// failedSeeds are the seeds that failed once, beyond those that CI runs.
+var failedSeeds = map[uint64]string{
+	93: "a host took its log for damaged, since a leader's entries were replaced across a removed segment",
+}
+
 // Random operations must be linearizable under crashes, partitions, full disks,
 // leadership transfers, and message loss, delay and duplication.
 func TestHistoriesAreLinearizable(t *testing.T) {
 	for seed := range uint64(*seeds) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			history := randomHistory(t, seed)
-			if len(history) < 100 {
-				t.Fatalf("only %d operations completed", len(history))
-			}
-			if porcupine.CheckOperationsTimeout(registerModel, history, 20*time.Second) != porcupine.Ok {
-				t.Fatal("the history is not linearizable")
-			}
-		})
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { checkHistory(t, seed) })
+	}
+	for seed, cause := range failedSeeds {
+		t.Run(fmt.Sprintf("%d: %s", seed, cause), func(t *testing.T) { checkHistory(t, seed) })
+	}
+}
+
+func checkHistory(t *testing.T, seed uint64) {
+	history := randomHistory(t, seed)
+	if len(history) < 100 {
+		t.Fatalf("only %d operations completed", len(history))
+	}
+	if porcupine.CheckOperationsTimeout(registerModel, history, 20*time.Second) != porcupine.Ok {
+		t.Fatal("the history is not linearizable")
 	}
 }
 
--- a/internal/control/sim_test.go
+++ b/internal/control/sim_test.go
@@ -39,7 +39,12 @@
 	faulty   bool // the network loses, delays and duplicates messages
 }
 
-const simStep = 10 * time.Millisecond
+const (
+	simStep = 10 * time.Millisecond
+	// simSegmentBytes is the size of a few changes, so that leaders' entries are replaced
+	// across segments.
+	simSegmentBytes = 1 << 10
+)
 
 // newSim starts a log on three hosts.
 func newSim(tb testing.TB, seed uint64) *sim {
@@ -62,6 +67,7 @@
 	if err != nil {
 		s.tb.Fatal(err)
 	}
+	log.LimitSegments(simSegmentBytes)
 	h.replica = replica.New()
 	cfg := raft.Config{ElectionTimeout: electionTimeout, HeartbeatInterval: heartbeatInterval, Rand: s.rand}
 	h.engine, err = newEngine(cfg, stored, log, h.replica, s.now)
--- a/internal/wal/random_test.go
+++ b/internal/wal/random_test.go
@@ -185,7 +185,7 @@
 		}
 		r.disk.opsUntilCrash = -1
 		r.log = l
-		l.segmentBytes = int64(minSegmentBytes + r.rand.IntN(segmentBytesRange))
+		l.LimitSegments(int64(minSegmentBytes + r.rand.IntN(segmentBytesRange)))
 		r.compare(stored.Restored)
 		return
 	}
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -167,6 +167,10 @@
 	return nil
 }
 
+// LimitSegments sets the size in bytes at which a new segment is started, in place of
+// segmentBytes.
+func (l *Log) LimitSegments(size int64) { l.segmentBytes = size }
+
 // HardState returns the last saved hard state.
 func (l *Log) HardState() raft.HardState { return l.hardState }
 
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -128,7 +128,7 @@
 func openSmallSegments(d Disk) (*Log, Stored, error) {
 	l, stored, err := Open(d, newID)
 	if err == nil {
-		l.segmentBytes = 300
+		l.LimitSegments(300)
 	}
 	return l, stored, err
 }
