--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -23,6 +23,7 @@
 	{16, 10 * time.Second, "two faults stopped the same entry host concurrently, and the soak started it twice"},
 	{7207, 12 * time.Second, "an entry host refused the copy of an opening packet whose original another one had placed"},
 	{7210, 12 * time.Second, "all writes to disk waited for 7 s, apparently, so that a host did not end in time"},
+	{42117, 12 * time.Second, "an entry host that had been paused reset a flow, since it handled an original and its copy within a millisecond"},
 	{7310, 12 * time.Second, "a control host restarted with an invalid announcement from before the first document in its hint file"},
 }
 
