soak: a host without a quorum does not count as a voter

Cause, from its logs: control-1 replaced control-2, which was unreachable, by control-3; control-0 then replaced control-3, unreachable in turn, by control-2. Control-3 came back from its own disk and took itself for a voter. The soak wiped control-0, and 0.75 s later control-2, since it counted three voters: 1, 2 and 3. Two of the three voters had lost their disks before the first was replaced, which is more than the deployment tolerates (DEPLOY.md, Losses: as many machines as `tolerate` allows, here 1).

Change: a host counts as a voter only if it was in contact with a quorum in the last second. The guarantees that the soak checks are the same.

--- a/internal/soak/operators.go
+++ b/internal/soak/operators.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -91,10 +92,17 @@
 	return resp.StatusCode, data
 }
 
-// voterLine is the line of the metrics that a voter of the log has.
-const voterLine = "control.votes 1\n"
+const (
+	// voterLine is the line of the metrics that a voter of the log has.
+	voterLine = "control.votes 1\n"
+	// maxContactAge is the time without contact to a quorum after which a host may have
+	// been removed from the log without knowing it.
+	maxContactAge = time.Second
+)
 
-// isVoter reports whether the metrics of a control host say that it is a voter.
+// isVoter reports whether the metrics of a control host say that it is a voter, and in
+// contact with a quorum. One that was removed while it was unreachable still takes itself
+// for a voter.
 func (s *soak) isVoter(host int) bool {
 	resp, err := s.http.Get("http://" + s.layout.addr(host, portMetrics) + "/metrics")
 	if err != nil {
@@ -102,5 +110,14 @@
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(resp.Body)
-	return err == nil && bytes.Contains(data, []byte(voterLine))
+	return err == nil && bytes.Contains(data, []byte(voterLine)) && hasQuorum(data)
+}
+
+// hasQuorum reports whether the metrics of a control host say that it was in contact with
+// a quorum within maxContactAge.
+func hasQuorum(metrics []byte) bool {
+	_, rest, found := bytes.Cut(metrics, []byte("control.contact_age_ms "))
+	line, _, _ := bytes.Cut(rest, []byte("\n"))
+	age, err := strconv.ParseInt(string(line), 10, 64)
+	return found && err == nil && time.Duration(age)*time.Millisecond < maxContactAge
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -24,6 +24,7 @@
 	{7207, 12 * time.Second, "an entry host refused the copy of an opening packet whose original another one had placed"},
 	{7210, 12 * time.Second, "all writes to disk waited for 7 s, apparently, so that a host did not end in time"},
 	{42117, 12 * time.Second, "an entry host that had been paused reset a flow, since it handled an original and its copy within a millisecond"},
+	{48044, 12 * time.Second, "the soak wiped two of three voters: it counted a third one that had been removed and did not know it"},
 	{7310, 12 * time.Second, "a control host restarted with an invalid announcement from before the first document in its hint file"},
 }
 
@@ -37,3 +38,17 @@
 		qt.Check(t, report.Violations, qt.HasLen, 0)
 	}
 }
+
+// Guards against a soak that takes the disk of a second voter before the first is
+// replaced, since it counts a host that was removed from the log.
+func TestVoterWithoutAQuorumDoesNotCount(t *testing.T) {
+	for metrics, want := range map[string]bool{
+		"control.contact_age_ms 20\ncontrol.votes 1\n":    true,
+		"control.contact_age_ms 999\ncontrol.votes 1\n":   true,
+		"control.contact_age_ms 1000\ncontrol.votes 1\n":  false,
+		"control.contact_age_ms 86000\ncontrol.votes 1\n": false,
+		"control.votes 1\n":                               false,
+	} {
+		qt.Check(t, hasQuorum([]byte(metrics)), qt.Equals, want, qt.Commentf(metrics))
+	}
+}
