steering: a copy of a placed flow does not reset it

Callers saw: a flow to a service whose only usable backend server is cold was reset 200 ms after its opening packet, unless the backend server had answered by then. After a pause of the entry host the flow was open already.

Cause: the flow uses up this host's share of the bound of the cold backend server. For the copy of its opening packet the backend server is then excluded as for a new flow, and without another one the copy was refused. The same for one that began to drain, was evacuated or admitted other hosts meanwhile. The mend of delayed packets covers only the time after a pause.

Change: the copy goes to the same backend server if only the used-up share excludes it, and counts once more. Excluded for another reason, it is dropped: the flow may be open. Gone or started again, it is refused as before.

Evidence: TestCopyOfAColdPlacementIsNotRefused failed before with "refuse cold", TestCopyOfAPlacedFlowIsRefusedOnlyIfItsServerIsGone with "refuse no_server" and "refuse cold".

--- a/internal/steering/cold_test.go
+++ b/internal/steering/cold_test.go
@@ -234,3 +234,47 @@
 	c.Assert(describe(second), qt.Equals, "forward placed_again "+first.Server.ID)
 	c.Assert(s.suspects.byID, qt.HasLen, 0)
 }
+
+// Guards against a reset of a flow that a cold backend server is about to accept: the flow
+// used up the share of this host, and its caller repeated the opening packet.
+func TestCopyOfAColdPlacementIsNotRefused(t *testing.T) {
+	c := qt.New(t)
+	s := New(Config{Zone: "a", Host: "h", ColdBound: coldBound})
+	cold := backend("x1", "orders", "a", catalog.Ready)
+	cold.Admission = &warmup.Admission{Hosts: []string{"h"}, Each: 1}
+	s.SetTable(0, Build(coldDocument(), []catalog.Record{cold}))
+	s.cold.startZoneWarmup("a", time.Second)
+	now := time.Second
+	c.Assert(describe(s.Decide(now, syn(1, orders, 0))), qt.Equals, "forward placed x1")
+	c.Assert(describe(s.Decide(now, syn(2, orders, 0))), qt.Equals, "refuse cold")
+	c.Assert(describe(s.Decide(now+200*time.Millisecond, syn(1, orders, 1))), qt.Equals, "forward placed_again x1")
+	c.Assert(describe(s.Decide(now+600*time.Millisecond, syn(1, orders, 2))), qt.Equals, "forward placed_again x1")
+	c.Assert(describe(s.Decide(now+1200*time.Millisecond, syn(3, orders, 0))), qt.Equals, "refuse cold")
+}
+
+// Guards against a reset of a flow that a backend server may have accepted before it was
+// excluded from new flows.
+func TestCopyOfAPlacedFlowIsRefusedOnlyIfItsServerIsGone(t *testing.T) {
+	draining, gone, later := backend("x1", "orders", "a", catalog.Draining), backend("x1", "orders", "a", catalog.Gone), backend("x1", "orders", "a", catalog.Draining)
+	later.Born++
+	for _, test := range []struct {
+		name     string
+		change   func(s *Steerer)
+		decision string
+	}{
+		{"draining", func(s *Steerer) { s.SetTable(0, Build(coldDocument(), []catalog.Record{draining})) }, "drop no_server"},
+		{"gone", func(s *Steerer) { s.SetTable(0, Build(coldDocument(), []catalog.Record{gone})) }, "refuse no_server"},
+		{"started again", func(s *Steerer) { s.SetTable(0, Build(coldDocument(), []catalog.Record{later})) }, "refuse no_server"},
+		{"zone evacuated", func(s *Steerer) { s.SetEvacuations(time.Second, ordersFrom(1, "+a"), nil) }, "drop evacuated"},
+		{"other hosts admitted", func(s *Steerer) { s.cold.startZoneWarmup("a", time.Second) }, "drop cold"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			s := New(Config{Zone: "a", Host: "h", ColdBound: coldBound})
+			s.SetTable(0, Build(coldDocument(), []catalog.Record{backend("x1", "orders", "a", catalog.Ready)}))
+			c.Assert(describe(s.Decide(time.Second, syn(1, orders, 0))), qt.Equals, "forward placed x1")
+			test.change(s)
+			c.Assert(describe(s.Decide(1200*time.Millisecond, syn(1, orders, 1))), qt.Equals, test.decision)
+		})
+	}
+}
--- a/internal/steering/held.go
+++ b/internal/steering/held.go
@@ -36,8 +36,8 @@
 	if !o.held || now-o.latestAt >= minAnswerTime {
 		return nil
 	}
-	server := s.table.tokens[o.server.Token]
-	if server == nil || server.Born != o.server.Born || server.Status >= catalog.Draining {
+	server := s.current(o.server)
+	if server == nil || server.Status >= catalog.Draining {
 		return nil
 	}
 	return server
--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -152,16 +152,16 @@
 		before.firstAt = now
 		d = s.decideNew(now, service, route.Priority)
 	} else {
-		unanswered := s.recordUnanswered(now, before.server)
-		d = s.decisionFor(now, service, s.choose(now, s.table.services[service], before.tried), PlacedAgain)
-		d.Unanswered = unanswered
+		d = s.decideCopy(now, service, before)
 	}
 	if d.Server == nil {
 		return withoutOtherCopy(p, before, d)
 	}
 	s.cold.recordPlaced(now, d.Server)
 	s.lastUsed[d.Server.ID] = now
-	s.openings[flow.key()] = opening{firstAt: before.firstAt, latestAt: now, server: d.Server, tried: append(before.tried, d.Server.ID), held: p.Delayed}
+	s.openings[flow.key()] = opening{
+		firstAt: before.firstAt, latestAt: now, server: d.Server, tried: append(before.tried, d.Server.ID), held: p.Delayed,
+	}
 	return d
 }
 
@@ -187,6 +187,40 @@
 	return s.decisionFor(now, service, s.chooseByPlan(now, service), Placed)
 }
 
+// decideCopy decides about a copy of an opening packet that this host has placed.
+func (s *Steerer) decideCopy(now time.Duration, service string, before opening) Decision {
+	unanswered := s.recordUnanswered(now, before.server)
+	server := s.choose(now, s.table.services[service], before.tried)
+	if server == nil && s.mayRepeat(now, before.server) {
+		server = s.current(before.server)
+	}
+	d := s.decisionFor(now, service, server, PlacedAgain)
+	if server == nil && s.current(before.server) != nil {
+		d.Verdict = Drop // a reset would end the flow, which may be open
+	}
+	d.Unanswered = unanswered
+	return d
+}
+
+// mayRepeat reports whether a backend server may get a copy of an opening packet that it
+// got before, although it gets no new flows: it gets none because flows that this host
+// placed use up its bound, and this flow is one of them.
+func (s *Steerer) mayRepeat(now time.Duration, placed *Server) bool {
+	server := s.current(placed)
+	return server != nil && server.Status < catalog.Draining && !s.zones.contains(server.Zone) &&
+		s.cold.exclusionOf(now, server, s.table) == usedUp
+}
+
+// current returns a backend server as the table has it now, or nil if it is gone or has
+// started again.
+func (s *Steerer) current(server *Server) *Server {
+	now := s.table.tokens[server.Token]
+	if now == nil || now.Born != server.Born || now.Status == catalog.Gone {
+		return nil
+	}
+	return now
+}
+
 // decisionFor returns the decision to use a backend server for the given reason, or to
 // refuse the flow if server is nil.
 func (s *Steerer) decisionFor(now time.Duration, service string, server *Server, reason Reason) Decision {
