wal: one commit index in recovery, and a test of the state that it is for

Two fields and a parameter of recovery said the same: how far the log is committed.

Change: the test keeps a first file that begins with replaced entries, and compares the restored state where the loss of that file changes nothing.

--- a/internal/wal/recover.go
+++ b/internal/wal/recover.go
@@ -35,7 +35,7 @@
 	base      uint64 // index before the first of entries, valid if hasBase
 	start     uint64 // value of base before later entries replaced earlier ones
 	hasBase   bool
-	isReset   bool   // base is the index of a snapshot that replaced the log
+	committed uint64 // highest index up to which the log was known to be committed
 	sequence  uint64 // sequence number of the next frame, 0 before the first one
 	segments  []segment
 	tail      int // valid bytes of the last segment
@@ -114,34 +114,33 @@
 	} else if err := codec.Unmarshal(f.payload, &b); err != nil {
 		return err
 	}
-	committed := r.hardState.Commit
-	r.hardState = b.toHardState()
 	for _, e := range b.Entries {
-		if err := r.add(e.toEntry(), committed); err != nil {
+		if err := r.add(e.toEntry()); err != nil {
 			return err
 		}
 		s := &r.segments[len(r.segments)-1]
 		s.last = max(s.last, e.Index)
 	}
+	r.hardState = b.toHardState()
+	r.committed = max(r.committed, b.Commit)
 	return nil
 }
 
 // reset restarts the log after an installed snapshot with the given index.
 func (r *recovery) reset(index uint64) error {
-	if index < r.hardState.Commit {
-		return fmt.Errorf("the snapshot of entry %d replaces committed entries up to %d", index, r.hardState.Commit)
+	if index < r.committed {
+		return fmt.Errorf("the snapshot of entry %d replaces committed entries up to %d", index, r.committed)
 	}
-	r.entries, r.base, r.start, r.hasBase, r.isReset = nil, index, index, true, true
+	r.entries, r.base, r.start, r.hasBase, r.committed = nil, index, index, true, index
 	for i := range r.segments {
 		r.segments[i].last = 0
 	}
 	return nil
 }
 
-// add appends one entry. It replaces any entries from its index on, which must be
-// above the commit index that was saved before. The first of those may have been in a
-// removed segment.
-func (r *recovery) add(e raft.Entry, committed uint64) error {
+// add appends one entry. It replaces any entries from its index on, which must be above
+// the commit index. The first of those may have been in a removed segment.
+func (r *recovery) add(e raft.Entry) error {
 	if e.Index == 0 {
 		return errors.New("an entry has no index")
 	}
@@ -150,9 +149,9 @@
 	}
 	next := r.base + uint64(len(r.entries)) + 1
 	switch {
-	case e.Index > next || r.isReset && e.Index <= r.base:
+	case e.Index > next:
 		return fmt.Errorf("entry %d does not follow entry %d", e.Index, next-1)
-	case e.Index <= committed && r.replaces(e):
+	case e.Index <= r.committed && r.conflicts(e):
 		return fmt.Errorf("entry %d of term %d replaces a committed entry", e.Index, e.Term)
 	case e.Index <= r.base:
 		r.base, r.entries = e.Index-1, nil
@@ -161,9 +160,9 @@
 	return nil
 }
 
-// replaces reports whether the log has another entry at the index of e, or had one in
-// a removed segment.
-func (r *recovery) replaces(e raft.Entry) bool {
+// conflicts reports whether the log has another entry at the index of e, or may have had
+// one in a removed segment.
+func (r *recovery) conflicts(e raft.Entry) bool {
 	if e.Index <= r.base {
 		return true
 	}
@@ -198,8 +197,8 @@
 		out.Entries = slices.Clip(r.entries[index-r.base:])
 		last += uint64(len(out.Entries))
 	}
-	if r.hardState.Commit > last {
-		return out, corrupt(r.disk.Path(""), 0, fmt.Sprintf("the log ends at entry %d, but %d was committed", last, r.hardState.Commit), remedyRejoin)
+	if r.committed > last {
+		return out, corrupt(r.disk.Path(""), 0, fmt.Sprintf("the log ends at entry %d, but %d was committed", last, r.committed), remedyRejoin)
 	}
 	return out, nil
 }
--- a/internal/wal/replaced_test.go
+++ b/internal/wal/replaced_test.go
@@ -9,12 +9,17 @@
 	"greengagequay/internal/raft"
 )
 
-// saveOneByOne saves entries of term 1, each in a frame of its own.
-func saveOneByOne(c *qt.C, l *Log, from, to, commit uint64) {
-	for i := from; i <= to; i++ {
+// newLog returns a disk and a log with small segments on it, which holds entries of term 1
+// in a frame each, up to index last. Those up to commit are committed.
+func newLog(c *qt.C, last, commit uint64) (*fakeDisk, *Log) {
+	d := newFakeDisk()
+	l, _, err := openSmallSegments(d)
+	c.Assert(err, qt.IsNil)
+	for i := uint64(1); i <= last; i++ {
 		hs := raft.HardState{Term: 1, Commit: min(i-1, commit)}
 		c.Assert(l.Save(hs, entries(1, i, i)), qt.IsNil)
 	}
+	return d, l
 }
 
 // Guards against a log that counts as damaged because a leader's entries were replaced
@@ -24,10 +29,7 @@
 		for snapshot := commit; snapshot <= 9; snapshot++ {
 			c := qt.New(t)
 			comment := qt.Commentf("entries after %d replaced, snapshot at %d", commit, snapshot)
-			d := newFakeDisk()
-			l, _, err := openSmallSegments(d)
-			c.Assert(err, qt.IsNil)
-			saveOneByOne(c, l, 1, 8, commit)
+			d, l := newLog(c, 8, commit)
 			c.Assert(l.Save(raft.HardState{Term: 2, Commit: snapshot}, entries(2, commit+1, 9)), qt.IsNil)
 			term := uint64(2)
 			if snapshot == commit {
@@ -52,10 +54,7 @@
 // has an index below those of the first remaining segment.
 func TestReplacedEntriesDoNotComeBack(t *testing.T) {
 	c := qt.New(t)
-	d := newFakeDisk()
-	l, _, err := openSmallSegments(d)
-	c.Assert(err, qt.IsNil)
-	saveOneByOne(c, l, 1, 8, 4)
+	d, l := newLog(c, 8, 4)
 	c.Assert(l.Save(raft.HardState{Term: 2, Commit: 6}, entries(2, 5, 6)), qt.IsNil)
 	c.Assert(l.SaveSnapshot(raft.Snapshot{Index: 6, Term: 2}), qt.IsNil)
 	c.Assert(len(l.segments) < 4, qt.IsTrue, qt.Commentf("no segment was removed"))
@@ -118,20 +117,21 @@
 	}
 }
 
-// A log whose entries were replaced across segments refuses flipped bits in each segment
-// and the loss of each segment, but for the last one, which the others do not mention.
+// A log whose first remaining segment begins with replaced entries refuses flipped bits in
+// each segment, and the loss of each but two: the first one, which holds only replaced
+// entries and those of the snapshot, and the last one, which the others do not mention.
 func TestDamageAfterReplacedEntriesIsRefused(t *testing.T) {
 	c := qt.New(t)
-	d := newFakeDisk()
-	l, _, err := openSmallSegments(d)
-	c.Assert(err, qt.IsNil)
-	saveOneByOne(c, l, 1, 8, 4)
+	d, l := newLog(c, 8, 4)
 	for i := uint64(5); i <= 24; i++ {
 		c.Assert(l.Save(raft.HardState{Term: 2, Commit: i - 1}, entries(2, i, i)), qt.IsNil)
 	}
-	c.Assert(l.SaveSnapshot(raft.Snapshot{Index: 8, Term: 2}), qt.IsNil)
+	c.Assert(l.SaveSnapshot(raft.Snapshot{Index: 6, Term: 2}), qt.IsNil)
 	c.Assert(l.Close(), qt.IsNil)
 	c.Assert(len(l.segments) > 3, qt.IsTrue)
+	_, whole, err := Open(d, newID)
+	c.Assert(err, qt.IsNil)
+	c.Assert(whole.Restored.Entries, qt.HasLen, 18)
 	for i, s := range l.segments[:len(l.segments)-1] {
 		for at := range d.names[s.name()].data {
 			d.flipBit(s.name(), at)
@@ -141,11 +141,25 @@
 		}
 		file := d.names[s.name()]
 		c.Assert(d.Remove(s.name()), qt.IsNil)
-		_, _, err := Open(d, newID)
-		c.Assert(fault.KindOf(err), qt.Equals, fault.Corrupt, qt.Commentf("without segment %d: %v", i, err))
+		_, stored, err := Open(d, newID)
+		if i == 0 {
+			c.Assert(err, qt.IsNil)
+			c.Assert(describe(stored.Restored), qt.Equals, describe(whole.Restored))
+		} else {
+			c.Assert(err, qt.IsNotNil, qt.Commentf("without segment %d", i))
+			c.Assert(fault.KindOf(err), qt.Equals, fault.Corrupt)
+		}
 		d.names[s.name()] = file
 	}
-	_, stored, err := Open(d, newID)
-	c.Assert(err, qt.IsNil, qt.Commentf("%v", l.segments))
-	c.Assert(stored.Restored.Entries, qt.HasLen, 16)
+}
+
+// Guards against an installed snapshot that takes the place of entries that were committed.
+func TestSnapshotInPlaceOfCommittedEntriesIsRefused(t *testing.T) {
+	c := qt.New(t)
+	d, l := newLog(c, 8, 7)
+	s := raft.Snapshot{Index: 5, Term: 2}
+	c.Assert(l.Install(s, raft.HardState{Term: 2, Commit: 5}), qt.IsNil)
+	_, _, err := Open(d, newID)
+	c.Assert(fault.KindOf(err), qt.Equals, fault.Corrupt)
+	c.Assert(fault.From(err).Message, qt.Matches, ".*the snapshot of entry 5 replaces committed entries up to 7")
 }
--- a/internal/wal/setaside_test.go
+++ b/internal/wal/setaside_test.go
@@ -15,10 +15,7 @@
 // damagedDisk returns a disk with a log of several segments and a snapshot, in which a
 // bit of the first segment was flipped.
 func damagedDisk(c *qt.C) *fakeDisk {
-	d := newFakeDisk()
-	l, _, err := openSmallSegments(d)
-	c.Assert(err, qt.IsNil)
-	saveOneByOne(c, l, 1, 16, 16)
+	d, l := newLog(c, 16, 16)
 	c.Assert(l.SaveSnapshot(raft.Snapshot{Index: 4, Term: 1}), qt.IsNil)
 	c.Assert(l.Close(), qt.IsNil)
 	d.flipBit(l.segments[0].name(), 30)
