wal: files of two logs do not stand under one number

What an operator would see: after the fifth log of a folder was set aside, which had lost its identity, damaged-4-identity was that of the fourth log, beside the files of the fifth. Put back, they would give a log the identity and votes of another one.

Cause: the files of the earlier log were removed only if an identity was there to move.

Change: they are removed unless the rest of the same log is set aside.

Evidence: TestLogsThatWereSetAsideAreNotMixed failed before with both files. Found on reading again.

--- a/internal/wal/setaside.go
+++ b/internal/wal/setaside.go
@@ -68,9 +68,9 @@
 		return DamagedLog{}, fmt.Errorf("list data folder: %w", err)
 	}
 	files := logFiles(names, "")
-	number := damagedNumber(names, files)
+	number, isRest := damagedNumber(names, files)
 	log := DamagedLog{Prefix: damagedLogPrefix(number), Files: len(files)}
-	if slices.Contains(names, identityName) {
+	if !isRest {
 		if log.Replaced, err = removeDamaged(d, names, number); err != nil {
 			return log, err
 		}
@@ -89,18 +89,18 @@
 	return log, d.SyncDir()
 }
 
-// damagedNumber returns the number under which files are set aside: that of the last
-// log if these are the rest of it, which a crash left, else the next one.
-func damagedNumber(names, files []string) int {
+// damagedNumber returns the number under which files are set aside, and whether they are
+// the rest of the log that was set aside last, which a crash left.
+func damagedNumber(names, files []string) (number int, isRest bool) {
 	latest := latestDamaged(names)
 	if latest == 0 {
-		return firstDamagedLog
+		return firstDamagedLog, false
 	}
 	isTaken := func(file string) bool { return slices.Contains(names, damagedLogPrefix(latest)+file) }
 	if !slices.Contains(files, identityName) && !slices.ContainsFunc(files, isTaken) {
-		return latest
+		return latest, true
 	}
-	return min(latest+1, maxDamagedLogs)
+	return min(latest+1, maxDamagedLogs), false
 }
 
 // removeDamaged removes a log that was set aside, and reports whether there was one.
--- a/internal/wal/setaside_test.go
+++ b/internal/wal/setaside_test.go
@@ -102,6 +102,24 @@
 	}
 }
 
+// Guards against files of two logs under one number, after a log that had lost its identity
+// was set aside over an earlier one.
+func TestLogsThatWereSetAsideAreNotMixed(t *testing.T) {
+	c := qt.New(t)
+	d := newFakeDisk()
+	for range maxDamagedLogs + 1 {
+		l, _, err := Open(d, newID)
+		c.Assert(err, qt.IsNil)
+		c.Assert(l.Close(), qt.IsNil)
+		if number := latestDamaged(mustList(c, d)); number == maxDamagedLogs {
+			c.Assert(d.Remove(identityName), qt.IsNil)
+		}
+		_, err = SetAside(d)
+		c.Assert(err, qt.IsNil)
+	}
+	c.Assert(logFiles(mustList(c, d), damagedLogPrefix(maxDamagedLogs)), qt.DeepEquals, []string{"damaged-4-log-0000000000000001"})
+}
+
 // Guards against a log without its identity that is taken for an unfinished new one, and
 // removed.
 func TestSegmentsWithoutAnIdentityAreKept(t *testing.T) {
