fleet: the damage line says whether the log was set aside

What an operator would see: the line said that the log was moved, and the counter counted it, also if that had failed.

Cause: both came before the error was looked at.

Change: they follow the outcome; a failure has a line of its own with both errors.

Evidence: TestLogThatCouldNotBeSetAside failed before. Found on reading again.

--- a/internal/fleet/raftlog.go
+++ b/internal/fleet/raftlog.go
@@ -99,14 +99,15 @@
 	if fault.KindOf(openErr) != fault.Corrupt {
 		return nil, openErr
 	}
-	h.metrics.Counter("control.logs_set_aside").Inc(1)
 	log, err := wal.SetAside(o.Disk)
-	h.log.Event("damage", "moved the damaged log aside; this host joins as a new member", eventlog.Fields{
-		"error": openErr.Error(), "prefix": log.Prefix, "files": log.Files, "replaced": log.Replaced,
-	})
 	if err != nil {
+		h.log.Event("damage", "could not set the damaged log aside", eventlog.Fields{"error": openErr.Error(), "cause": err.Error()})
 		return nil, err
 	}
+	h.metrics.Counter("control.logs_set_aside").Inc(1)
+	h.log.Event("damage", "moved the damaged log aside; this host joins as a new member", eventlog.Fields{
+		"error": openErr.Error(), "prefix": log.Prefix, "files": log.Files, "replaced": log.Replaced,
+	})
 	o.InitialVoters = nil
 	return control.Open(o)
 }
