control: a log that this version cannot decode is not damaged

Callers would see: after a change of all control hosts to a version that cannot decode what is stored, each sets its sound log aside, no quorum is left, and the acknowledged configuration does not come back.

Cause: Open passed on decode errors of the state and of the membership, whose kind is corrupt like that of damaged files. The host then sets the log aside.

Change: after the files have passed their checks, such an error is of kind unavailable and names the remedy. The host does not start, and the files stay.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -8,7 +8,9 @@
 
 	"greengagequay/internal/fault"
 	"greengagequay/internal/raft"
+	"greengagequay/internal/replica"
 	"greengagequay/internal/state"
+	"greengagequay/internal/wal"
 )
 
 // A partitioned leader considers itself the leader for a while. It must commit
@@ -294,3 +296,21 @@
 		}
 	}
 }
+
+// Guards against a host that sets a sound log aside because this version cannot decode
+// what it holds.
+func TestLogOfAnotherVersionIsNotDamaged(t *testing.T) {
+	c := qt.New(t)
+	state := &memDisk{files: map[string]*memFile{}}
+	c.Assert(wal.Restore(state, 1, raft.Snapshot{Index: 5, Term: 1, Data: []byte("unknown")}), qt.IsNil)
+	membership := &memDisk{files: map[string]*memFile{}}
+	log, _, err := wal.Open(membership, func() raft.ID { return 1 })
+	c.Assert(err, qt.IsNil)
+	c.Assert(log.Save(raft.HardState{Term: 1}, []raft.Entry{{Index: 1, Term: 1, Type: raft.EntryMembership, Data: []byte("unknown")}}), qt.IsNil)
+	c.Assert(log.Close(), qt.IsNil)
+	for _, disk := range []*memDisk{state, membership} {
+		_, err := Open(Options{Disk: disk, Replica: replica.New()})
+		c.Assert(err, qt.ErrorMatches, "this version cannot read.*")
+		c.Assert(fault.KindOf(err), qt.Equals, fault.Unavailable)
+	}
+}
--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -106,7 +106,8 @@
 	e, err := newEngine(cfg, stored, log, o.Replica, 0)
 	if err != nil {
 		_ = log.Close()
-		return nil, err
+		// The files passed their checks, so they are not damaged.
+		return nil, fault.New(fault.Unavailable, "start the version that wrote the data folder, or a later one", "this version cannot read the state in the data folder: %w", err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &Host{
