wal: keep the first and the last of the logs that were set aside

What an operator would see: up to four damaged logs beside the one in use fill a small disk, and the host accepts nothing.

Cause: the number of kept logs was chosen without a look at the disks.

Change: two are kept, the first and the last one.

Evidence: TestFurtherDamagedLogsReplaceOnlyTheLast and TestLogsThatWereSetAsideAreNotMixed pass with 2. No disk was filled.

--- a/internal/wal/setaside.go
+++ b/internal/wal/setaside.go
@@ -7,7 +7,7 @@
 
 const (
 	damagedPrefix   = "damaged-"
-	maxDamagedLogs  = 4 // logs that were set aside and are kept in a data folder
+	maxDamagedLogs  = 2 // the first and the last one, since the disk of a host may be small
 	firstDamagedLog = 1 // number of the log whose files have no number in their names
 )
 
@@ -58,7 +58,7 @@
 }
 
 // SetAside renames the files of a damaged log, so that the folder can be opened as an
-// empty one. The folder keeps the first logs that were set aside, and the last one.
+// empty one. The folder keeps the first log that was set aside and the last one.
 //
 // The identity is renamed first: after a crash in SetAside the folder cannot be opened
 // with a part of the log, and SetAside goes on when it is called again.
