Tests: one way to stop and restart control hosts, follow one, build a cold steerer

The change had written again what system.stopControls, the opening of a data folder and the set-up of a cold backend server already did.

--- a/internal/catalog/silence_test.go
+++ b/internal/catalog/silence_test.go
@@ -46,24 +46,36 @@
 	c.Assert(entry.entries["i-1"], qt.IsNotNil)
 }
 
+// ownerWithOldHint returns the catalog of control host "before" with backend server x, and
+// the records of its hint file, which were saved before the latest announcement.
+func ownerWithOldHint() (before *Catalog, hint []Record) {
+	before = newCatalog("before")
+	before.ReceiveHeartbeat(0, heartbeat("x", 1, 3))
+	hint = before.Since(0, "")
+	before.ReceiveHeartbeat(interval, heartbeat("x", 1, 5))
+	return before, hint
+}
+
+// follow connects an entry host to a control host, which sends its whole state.
+func follow(entry, host *Catalog, now time.Duration) {
+	entry.SetConnected(now, host.cfg.Self, true)
+	entry.Merge(now, host.cfg.Self, host.SteeringSince(0))
+}
+
 // Guards against an entry host that takes a live backend server for silent, and drops its
 // packets later, since all control hosts restarted from hint files with an earlier sequence
 // number: what they hear after that changes nothing for them, and is not sent.
 func TestEntryHostBelievesARestartedOwner(t *testing.T) {
 	c := qt.New(t)
-	before, after, entry := newCatalog("before"), newCatalog("after"), newCatalog("")
-	before.ReceiveHeartbeat(0, heartbeat("x", 1, 3))
-	hint := before.Since(0, "")
-	before.ReceiveHeartbeat(interval, heartbeat("x", 1, 5))
+	before, hint := ownerWithOldHint()
+	after, entry := newCatalog("after"), newCatalog("")
 	tickTo(before, 0, 4*interval)
-	entry.SetConnected(0, "before", true)
-	entry.Merge(4*interval, "before", before.SteeringSince(0))
+	follow(entry, before, 4*interval)
 	c.Assert(statuses(entry), qt.Equals, "x=silent")
 	entry.SetConnected(4*interval, "before", false)
 
 	after.Merge(5*interval, "", hint)
-	entry.SetConnected(5*interval, "after", true)
-	entry.Merge(5*interval, "after", after.SteeringSince(0))
+	follow(entry, after, 5*interval)
 	sent := after.SteeringRevision()
 	after.ReceiveHeartbeat(6*interval, heartbeat("x", 1, 9))
 	entry.Merge(6*interval, "after", after.SteeringSince(sent))
@@ -74,18 +86,14 @@
 // since all control hosts restarted from hint files with an earlier sequence number.
 func TestEntryHostBelievesThatARestartedOwnerHearsNothing(t *testing.T) {
 	c := qt.New(t)
-	before, after, entry := newCatalog("before"), newCatalog("after"), newCatalog("")
-	before.ReceiveHeartbeat(0, heartbeat("x", 1, 3))
-	hint := before.Since(0, "")
-	before.ReceiveHeartbeat(interval, heartbeat("x", 1, 5))
-	entry.SetConnected(0, "before", true)
-	entry.Merge(interval, "before", before.SteeringSince(0))
+	before, hint := ownerWithOldHint()
+	after, entry := newCatalog("after"), newCatalog("")
+	follow(entry, before, interval)
 	entry.SetConnected(interval, "before", false)
 
 	after.Tick(2 * interval)
 	after.Merge(2*interval, "", hint)
-	entry.SetConnected(2*interval, "after", true)
-	entry.Merge(2*interval, "after", after.SteeringSince(0))
+	follow(entry, after, 2*interval)
 	c.Assert(statuses(entry), qt.Equals, "x=ready")
 	tickTo(after, 2*interval, 6*interval)
 	entry.Merge(6*interval, "after", after.SteeringSince(0))
@@ -110,10 +118,8 @@
 	owner.ReceiveHeartbeat(interval, heartbeat("x", 1, 5))
 	owner.ReceiveHeartbeat(interval, draining(second))
 	tickTo(owner, 0, 5*interval)
-	entry.SetConnected(0, "owner", true)
-	entry.SetConnected(0, "other", true)
-	entry.Merge(5*interval, "owner", owner.SteeringSince(0))
-	entry.Merge(5*interval, "other", other.SteeringSince(0))
+	follow(entry, owner, 5*interval)
+	follow(entry, other, 5*interval)
 	c.Assert(statuses(entry), qt.Equals, "x=silent y=draining")
 	entry.SetConnected(6*interval, "owner", false)
 	entry.Merge(6*interval, "other", other.SteeringSince(0))
--- a/internal/fleet/evacuationsystem_test.go
+++ b/internal/fleet/evacuationsystem_test.go
@@ -89,9 +89,7 @@
 	next := (lost+1)%3 + 1
 	eventually(func() bool { return start(next) }) // again, since the acknowledgement may have been lost
 	c.Assert(s.evacuated(next), qt.DeepEquals, []string{"z1"})
-	for host := 1; host <= 3; host++ {
-		s.stopControl(host)
-	}
+	s.stopControls()
 	s.startControl(1, false)
 	restored, _, _ := s.controls[1].Next(feed.Hello{}, feed.Cursor{})
 	c.Assert(restored.Evacuations, qt.IsNotNil, qt.Commentf("a host with its disk sends its set without a quorum"))
--- a/internal/fleet/harness_test.go
+++ b/internal/fleet/harness_test.go
@@ -101,6 +101,19 @@
 	}
 }
 
+// restartControls starts the control hosts from their disks.
+func (s *system) restartControls() {
+	for host := 1; host <= 3; host++ {
+		s.startControl(host, false)
+	}
+}
+
+func (s *system) stopControls() {
+	for host := range s.controls {
+		s.stopControl(host)
+	}
+}
+
 func (s *system) stopControl(host int) {
 	if h := s.controls[host]; h != nil {
 		delete(s.controls, host)
--- a/internal/fleet/recovery_test.go
+++ b/internal/fleet/recovery_test.go
@@ -38,12 +38,6 @@
 	})
 }
 
-func (s *system) stopControls() {
-	for host := range s.controls {
-		s.stopControl(host)
-	}
-}
-
 // Guards against openings that take until the caller's next copy because their first
 // packet came before the host knew where to send it.
 func TestPacketsBeforeTheFirstControlHostAreDelivered(t *testing.T) {
@@ -65,9 +59,7 @@
 		defer entry.Stop()
 		s.sendTo(4, packet(port, 0))
 		eventually(func() bool { return s.metric(4, "packets.held") == "1" })
-		for host := 1; host <= 3; host++ {
-			s.startControl(host, false)
-		}
+		s.restartControls()
 		s.waitReady(4)
 		eventually(func() bool {
 			return s.metric(4, "packets.held_released") == "1" || s.metric(4, "packets.held_expired") == "1"
--- a/internal/fleet/stale_test.go
+++ b/internal/fleet/stale_test.go
@@ -24,9 +24,7 @@
 	s.announce(1, b, "ready")
 	s.waitReady(4)
 	s.waitReady(5)
-	for host := 1; host <= 3; host++ {
-		s.stopControl(host)
-	}
+	s.stopControls()
 	eventually(func() bool { return !s.isReady(4) })
 	c.Assert(s.isReady(5), qt.IsTrue)
 	s.sendTo(4, packet(1, 0))
--- a/internal/fleet/system_test.go
+++ b/internal/fleet/system_test.go
@@ -14,6 +14,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"greengagequay/internal/catalog"
+	"greengagequay/internal/raft"
 	"greengagequay/internal/wal"
 	"greengagequay/platform/standin"
 )
@@ -112,21 +113,33 @@
 	s.startControls()
 	s.put(1, 1)
 	s.stopControl(2)
-	disk, err := wal.OpenFolder(filepath.Join(s.folder, "2"))
-	c.Assert(err, qt.IsNil)
-	log, before, err := wal.Open(disk, nil)
-	c.Assert(err, qt.IsNil)
-	c.Assert(log.Close(), qt.IsNil)
-	_, err = wal.SetAside(disk)
-	c.Assert(err, qt.IsNil)
+	before := s.identity(c, 2)
+	s.setAside(c, 2)
 	s.startControl(2, true)
 	eventually(func() bool { return s.controls[2].Votes() })
 	c.Assert(s.get(2), qt.Equals, document(1))
 	s.stopControl(2)
-	log, after, err := wal.Open(disk, nil)
+	c.Assert(s.identity(c, 2), qt.Not(qt.Equals), before)
+}
+
+// identity returns the identity in the data folder of a control host that does not run.
+func (s *system) identity(c *qt.C, host int) raft.ID {
+	log, stored, err := wal.Open(s.dataFolder(c, host), nil)
 	c.Assert(err, qt.IsNil)
 	c.Assert(log.Close(), qt.IsNil)
-	c.Assert(after.ID, qt.Not(qt.Equals), before.ID)
+	return stored.ID
+}
+
+// setAside sets the log of a control host aside that does not run.
+func (s *system) setAside(c *qt.C, host int) {
+	_, err := wal.SetAside(s.dataFolder(c, host))
+	c.Assert(err, qt.IsNil)
+}
+
+func (s *system) dataFolder(c *qt.C, host int) wal.Disk {
+	folder, err := wal.OpenFolder(filepath.Join(s.folder, fmt.Sprint(host)))
+	c.Assert(err, qt.IsNil)
+	return folder
 }
 
 // Guards against a procedure in docs/OPERATIONS.md that does not work: two of three hosts
@@ -136,29 +149,18 @@
 	s := newSystem(t)
 	s.startControls()
 	s.put(1, 5)
-	for host := 1; host <= 3; host++ {
-		s.stopControl(host)
-	}
+	s.stopControls()
 	for host := 2; host <= 3; host++ {
-		disk, err := wal.OpenFolder(filepath.Join(s.folder, fmt.Sprint(host)))
-		c.Assert(err, qt.IsNil)
-		_, err = wal.SetAside(disk)
-		c.Assert(err, qt.IsNil)
-	}
-	for host := 1; host <= 3; host++ {
-		s.startControl(host, false)
+		s.setAside(c, host)
 	}
+	s.restartControls()
 	status, _ := s.call(1, "GET", standin.GetPath, "")
 	c.Assert(status, qt.Equals, http.StatusServiceUnavailable)
-	for host := 1; host <= 3; host++ {
-		s.stopControl(host)
-	}
+	s.stopControls()
 	for host := 2; host <= 3; host++ {
 		putBack(c, filepath.Join(s.folder, fmt.Sprint(host)))
 	}
-	for host := 1; host <= 3; host++ {
-		s.startControl(host, false)
-	}
+	s.restartControls()
 	c.Assert(s.get(2), qt.Equals, document(5))
 	s.put(3, 6)
 }
--- a/internal/steering/cold_test.go
+++ b/internal/steering/cold_test.go
@@ -180,14 +180,21 @@
 	}
 }
 
-// TestCopyOfAnUnseenOpeningIsNotRefused guards against a reset of a flow that another entry
-// host has placed: its caller sent a copy before the answer arrived.
-func TestCopyOfAnUnseenOpeningIsNotRefused(t *testing.T) {
+// newColdSteerer returns the steerer of host "h", which knows one backend server. That one is
+// cold from the first second on, and takes a flow a second from the admitted host.
+func newColdSteerer(admitted string) *Steerer {
 	s := New(Config{Zone: "a", Host: "h", ColdBound: coldBound})
 	cold := backend("x1", "orders", "a", catalog.Ready)
-	cold.Admission = &warmup.Admission{Hosts: []string{"other"}, Each: 1}
+	cold.Admission = &warmup.Admission{Hosts: []string{admitted}, Each: 1}
 	s.SetTable(0, Build(coldDocument(), []catalog.Record{cold}))
 	s.cold.startZoneWarmup("a", time.Second)
+	return s
+}
+
+// TestCopyOfAnUnseenOpeningIsNotRefused guards against a reset of a flow that another entry
+// host has placed: its caller sent a copy before the answer arrived.
+func TestCopyOfAnUnseenOpeningIsNotRefused(t *testing.T) {
+	s := newColdSteerer("other")
 	held := syn(3, orders, 1)
 	held.SeenFirst = true
 	for _, x := range []struct {
@@ -204,11 +211,7 @@
 // of its opening packet waited at this host, which was paused or could not place flows yet.
 func TestDelayedOpeningIsNotRefused(t *testing.T) {
 	c := qt.New(t)
-	s := New(Config{Zone: "a", Host: "h", ColdBound: coldBound})
-	cold := backend("x1", "orders", "a", catalog.Ready)
-	cold.Admission = &warmup.Admission{Hosts: []string{"other"}, Each: 1}
-	s.SetTable(0, Build(coldDocument(), []catalog.Record{cold}))
-	s.cold.startZoneWarmup("a", time.Second)
+	s := newColdSteerer("other")
 	now := time.Second
 	c.Assert(describe(s.DecideHeld(now, 0, syn(1, orders, 0))), qt.Equals, "refuse cold")
 	c.Assert(describe(s.DecideHeld(now, MaxFresh, syn(1, orders, 0))), qt.Equals, "drop cold")
@@ -239,11 +242,7 @@
 // used up the share of this host, and its caller repeated the opening packet.
 func TestCopyOfAColdPlacementIsNotRefused(t *testing.T) {
 	c := qt.New(t)
-	s := New(Config{Zone: "a", Host: "h", ColdBound: coldBound})
-	cold := backend("x1", "orders", "a", catalog.Ready)
-	cold.Admission = &warmup.Admission{Hosts: []string{"h"}, Each: 1}
-	s.SetTable(0, Build(coldDocument(), []catalog.Record{cold}))
-	s.cold.startZoneWarmup("a", time.Second)
+	s := newColdSteerer("h")
 	now := time.Second
 	c.Assert(describe(s.Decide(now, syn(1, orders, 0))), qt.Equals, "forward placed x1")
 	c.Assert(describe(s.Decide(now, syn(2, orders, 0))), qt.Equals, "refuse cold")
